--- /dev/null
+++ b/src/main/java/mulleinfront/Logic.java
@@ -0,0 +1,919 @@
+package mulleinfront;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import mulleinfront.State.Attempt;
+import mulleinfront.State.Node;
+import mulleinfront.State.Req;
+
+/**
+ * Every decision of mulleinfront; types, events and actions are in {@link Balancer} (Balancer.java).
+ *
+ * <p>The path of a request. Where the whole fleet is late, only a share is admitted, by worth. It is given a
+ * point on the ring: the hash of its key, or a random one. From there {@link #pick} walks the ring to the
+ * first usable endpoint: ready, not ejected, allowed by effect, within its slow start if cold, with room
+ * under its limit, within its bounded load. A keyless request takes the first such one that is connected,
+ * or an unconnected one met earlier if no connection is being opened. Under strain the endpoint is probed
+ * first where allowed. With no room, requests are held for a moment, the worthiest first. A failed attempt
+ * goes to the next owner if effect, time and the retry budget permit; else the request is refused where that
+ * is a true statement, and failed where not. A sweep finds endpoints that fell silent.
+ */
+final class Logic implements Balancer {
+
+    // ---- constants -----------------------------------------------------------------------------------
+
+    /** Ring points of an endpoint of weight 1: spread of shares near 1/sqrt(100), cheap to merge. */
+    private static final int POINTS = 100;
+    /** Most and fewest ring points of an endpoint, so that a stray weight can't swallow the ring. */
+    private static final int MOST_POINTS = 800;
+    private static final int FEWEST_POINTS = 20;
+    /** Time between sweeps, microseconds: short against any aim, rare against requests. */
+    private static final long SWEEP_US = 50_000;
+    /** Samples over which an endpoint's lag and failures are smoothed: a few outliers don't tip it. */
+    private static final double GAIN = 1.0 / 8;
+    /** Answers over which what all endpoints teach is smoothed: strain, and lag by kind. */
+    private static final double POOL_GAIN = 1.0 / 16;
+    /** Kinds told apart, and the least capacity a kind counts for. */
+    private static final int KINDS = 64;
+    private static final double LEAST_KIND = 0.25;
+    /** Samples over which a class's lag is smoothed, and the rise of what counts as usual, per second. */
+    private static final double CLASS_GAIN = 1.0 / 64;
+    private static final double USUAL_RISE = 0.03;
+    /** Usual lag before any answer, as part of the aim: high, for it falls faster than it rises. */
+    private static final double FIRST_USUAL = 0.25;
+    /** A lag of this many times the usual, or part of the aim if not ordinary, tells of crowding. */
+    private static final double CROWDED = 3;
+    private static final double CROWDED_AIM = 0.35;
+    private static final double ORDINARY = 1.5;
+    private static final double CUT = 0.85;
+    /** The cut where there was no answer at all in time: many instances with one attempt each are many. */
+    private static final double LOSS_CUT = 0.6;
+    /** Instances above which each pools what it learns, and probes: a server bears about as many at once. */
+    private static final int MANY = 16;
+    /** Share of requests placed with caution, for each part of strain; half where instances are few. */
+    private static final double CAUTION = 10;
+    /** Part of endpoints late from which it is the fleet's trouble, and how fast the whole cut is reached. */
+    private static final double FEW_LATE = 0.2;
+    private static final double LATE_SLOPE = 5;
+    /** Cut of admission by a lost attempt (a late one: half), and growth by a good one. */
+    private static final double ADMIT_CUT = 0.4;
+    private static final double ADMIT_GROW = 0.05;
+    /** Admissions that may be saved up; the lower a request's worth, the more must be left after it. */
+    private static final double MOST_SAVED = 3;
+    /** Growth of a limit in use: attempts for each limit of good answers (each one until the first cut). */
+    private static final double GROW = 0.5;
+    private static final double REGAIN = 0.2;
+    /** Limit of attempts out at one endpoint at the start; the least share that it and admission fall to. */
+    private static final double FIRST_LIMIT = 2;
+    private static final double LEAST_LIMIT = 0.1;
+    /** Time after which a tenant's traffic is forgotten to 1/e, microseconds. */
+    private static final double FORGET_US = 10_000_000;
+    /** Bounded load: an owner may take this multiple of its fair part of what is asked for. */
+    private static final double BOUND = 1.25;
+    /** Time over which what is asked for is counted, microseconds: long, since many see little. */
+    private static final double ASKED_US = 30_000_000;
+    /** Sends to a cold endpoint that may be saved up. */
+    private static final double MOST_CREDIT = 2;
+    /** Usable owners among which a request may spill: a key stays warm on few endpoints, not on all. */
+    private static final int OWNERS = 3;
+    /** Part of its limit up to which an endpoint takes keys that spill from their owner. */
+    private static final double SPILL_ROOM = 0.7;
+    /** Smoothed failure share at which an endpoint is ejected: three failures in a row reach it. */
+    private static final double FAIL_SHARE = 0.33;
+    /** Silence: nothing back for this many usual lags, and at least this part of the aim. */
+    private static final double SILENT_LAGS = 4;
+    private static final double SILENT_AIM = 0.4;
+    /** First ejection, microseconds; doubles up to the longest with each that follows soon. */
+    private static final long EJECT_US = 1_000_000;
+    private static final long LONGEST_EJECT_US = 8_000_000;
+    /** Share of the ring that may be ejected on suspicion: beyond it the trouble is elsewhere. */
+    private static final double MOST_EJECTED = 0.4;
+    /** Retry budget: each request earns this part of a retry; the most that can be saved up. */
+    private static final double RETRY_EARN = 0.25;
+    private static final double RETRY_MOST = 20;
+    /** Part of the aim for which a request of the highest worth may be held when nobody can take it. */
+    private static final double HOLD_AIM = 0.4;
+    /** Worth of a repeat against a first try: some of its aim has passed before we saw it. */
+    private static final double REPEAT_WORTH = 0.3;
+    /** Part of the aim, and usual lags, that a probe may take before its endpoint is passed over as busy. */
+    private static final double PROBE_AIM = 0.12;
+    private static final double PROBE_LAGS = 2;
+    /** Time for which a prompt answer spares a probe, microseconds. */
+    private static final long PROMPT_US = 500_000;
+    /** Strain, for each part of a request's worth that a probe costs, from which probes pay. */
+    private static final double PROBE_PAYS = 4;
+    /** Most endpoints probed for one request. */
+    private static final int MOST_PROBES = 3;
+    /** Part of a whole try's budget under which one is a repeat; how a large one fades by each request. */
+    private static final double WHOLE_TRY = 0.95;
+    private static final double WHOLE_FADE = 0.999;
+    /** Part of the time left that one attempt may use while another could follow. */
+    private static final double ATTEMPT_PART = 0.6;
+    /** Shortest wait before discovery is asked again, microseconds; doubles, with jitter. */
+    private static final long ASK_AGAIN_US = 250_000;
+
+    private static final Hasher64 HASH = Hashing.xxh3_64();
+
+    // ---- state ---------------------------------------------------------------------------------------
+
+    private final Settings settings;
+    private final Actions out;
+    private final SplittableRandom random;
+    private final HashMap<String, Node> nodes = new HashMap<>();
+    private final HashMap<String, Req> open = new HashMap<>();
+    /** Requests answered or gone with attempts still out, whose outcomes still teach. */
+    private final HashMap<String, Req> ended = new HashMap<>();
+    /** Requests on hold, the worthiest first, then the oldest. */
+    private final TreeSet<Req> held = new TreeSet<>(
+            Comparator.comparingDouble((Req r) -> -r.worth).thenComparingLong(r -> r.order));
+    private final Ring<Node> ring = new Ring<>();
+    /** Listed endpoints in order of listing. */
+    private final List<Node> listed = new ArrayList<>();
+    private final double[] meanLag;
+    private final double[] usualLag;
+    private final double[] whole;
+    private final double[] tenantRecent;
+    private final double mostWorth;
+    private final Effect safest;
+    private final boolean many;
+    /** Lag against the usual by kind of endpoint: at little traffic no endpoint alone shows it. */
+    private final double[] kindRatio = new double[KINDS];
+    private double tenantTotal;
+    private long tenantAt;
+    /** Capacity of all usable endpoints, and what was asked for of late; see {@link #weigh}. */
+    private double capacity;
+    private double offered;
+    /** Part of the latest answers, over all endpoints, that were late or lost. */
+    private double strain;
+    /** Part of the endpoints heard of late whose last answer was late or lost: each counts once. */
+    private double lateShare;
+    private long weighedAt = Long.MIN_VALUE / 2;
+    /** Share of requests admitted, from all answers alike, and admissions saved up. */
+    private double admitted = 1;
+    private double saved = MOST_SAVED;
+    private double retryTokens = RETRY_MOST / 2;
+    private long sends;
+    private Node opening;
+    private int walk;
+    private long requests;
+    private long wakeAt = Long.MAX_VALUE;
+    private long wokeAt = Long.MIN_VALUE / 2;
+    private long nextSweep;
+    private long nextHold = Long.MAX_VALUE;
+    /** Requests waiting for a probe of the endpoint they are to go to. */
+    private final List<Req> probing = new ArrayList<>();
+    private long nextProbe = Long.MAX_VALUE;
+    private boolean asking;
+    private boolean subscribed;
+    private long askAt;
+    private long askWait = ASK_AGAIN_US;
+
+    Logic(Settings settings, long seed, long now, Actions out) {
+        this.settings = settings;
+        this.out = out;
+        this.random = new SplittableRandom(seed);
+        this.usualLag = new double[settings.classes().size()];
+        this.meanLag = new double[usualLag.length];
+        this.whole = new double[usualLag.length];
+        this.tenantRecent = new double[settings.tenantShares().size()];
+        Arrays.setAll(usualLag, i -> meanLag[i] = settings.classes().get(i).aimUs() * FIRST_USUAL);
+        Arrays.fill(kindRatio, 1);
+        this.mostWorth = settings.classes().stream().mapToDouble(RequestClass::worth).reduce(1e-9, Math::max);
+        this.safest = settings.classes().stream().map(RequestClass::effect).sorted().iterator().next();
+        this.many = settings.instances() > MANY;
+        this.tenantAt = now;
+        this.nextSweep = now + SWEEP_US;
+        this.askAt = now;
+        if (settings.subscribe()) {
+            ask();
+        }
+    }
+
+    // ---- discovery -----------------------------------------------------------------------------------
+
+    @Override
+    public void onEndpoints(long now, Source source, List<Endpoint> entries) {
+        if (source != Source.CACHED && asking) {
+            asking = false;
+            subscribed = true;
+            askWait = ASK_AGAIN_US;
+        }
+        walk++;
+        for (Endpoint e : entries) {
+            Node n = nodes.computeIfAbsent(e.id(), id -> new Node(id, HASH.hashCharsToLong(id), FIRST_LIMIT));
+            n.seen = walk;
+            if (e.availability() != Availability.GONE) {
+                update(n, e, now);
+            } else if (n.onRing) {
+                leave(n);
+            }
+        }
+        if (source != Source.DELTA) {
+            List.copyOf(listed).stream().filter(n -> n.seen != walk).forEach(this::leave);
+        }
+        ring.merge();
+        weigh(now);
+        retryHeld(now);
+        arm(now);
+    }
+
+    private void update(Node n, Endpoint e, long now) {
+        n.zone = e.zone();
+        n.kind = e.kind() & KINDS - 1;
+        n.cell = e.cell();
+        n.weight = e.weight() > 0 ? e.weight() : 1;
+        boolean restarted = e.startedAtUs() != 0 && e.startedAtUs() != n.warmFrom && !n.down;
+        if (restarted || !n.onRing) {
+            // A new process: what was known of the old one no longer holds, and it is cold.
+            readmit(n);
+            if (e.startedAtUs() != 0) {
+                cool(n, e.startedAtUs());
+            }
+        }
+        if (!n.onRing) {
+            join(n);
+        }
+        n.ready = e.availability() == Availability.READY;
+    }
+
+    @Override
+    public void onDiscoveryFailed(long now) {
+        asking = false;
+        subscribed = false;
+        askAt = now + (long) (askWait * (0.5 + random.nextDouble()));
+        askWait = Math.min(2 * askWait, Math.max(ASK_AGAIN_US, settings.contract().askWithinUs() / 4));
+        arm(now);
+    }
+
+    private void ask() {
+        asking = true;
+        out.subscribe();
+    }
+
+    // ---- the ring ------------------------------------------------------------------------------------
+
+    private void join(Node n) {
+        n.onRing = true;
+        listed.add(n);
+        long count = Math.max(FEWEST_POINTS, Math.min(MOST_POINTS, Math.round(POINTS * size(n))));
+        long[] points = new long[(int) count];
+        Arrays.setAll(points, k -> HASH.hashLongLongToLong(n.hash, k));
+        ring.add(n, points);
+    }
+
+    private void leave(Node n) {
+        n.onRing = false;
+        n.ready = false;
+        listed.remove(n);
+        ring.remove(n);
+        if (n.outstanding.isEmpty()) {
+            nodes.remove(n.id);
+        }
+    }
+
+    /** Listed size; weights that follow load would move keys with every list and count as 1. */
+    private double size(Node n) {
+        return settings.weightsVary() ? 1 : n.weight;
+    }
+
+    /** Walks the ring from the request's hash to the endpoint that is to serve it; null if there is none. */
+    private Node pick(Req r, long now) {
+        if (now - weighedAt >= SWEEP_US) {
+            weigh(now);
+        }
+        // What is asked of each endpoint counts when a request is first placed, and again after each probe.
+        double asked = r.attempts.isEmpty() && r.holdUntil == 0 ? 1 : 0;
+        offered += asked;
+        Attempt bond = bond(r);
+        boolean keyless = r.in.key() == null;
+        walk++;
+        int left = listed.size();
+        Node spare = null;
+        boolean flawed = false;
+        Node ejected = null;
+        int usable = 0;
+        int from = ring.first(r.hash);
+        for (int k = 0; k < ring.size() && left > 0 && (usable < OWNERS || keyless); k++) {
+            Node n = ring.owner(from + k);
+            if (n.seen == walk) {
+                continue;
+            }
+            n.seen = walk;
+            left--;
+            boolean tried = !r.attempts.isEmpty() && r.attempts.stream().anyMatch(a -> a.node == n);
+            if (!n.ready || tried || !inGroup(r, bond, n) || !coldAdmits(n, now)) {
+                continue;
+            }
+            if (n.ejected) {
+                if (trialDue(n, r, now)) {
+                    return n;
+                }
+                ejected = ejected == null && !n.down ? n : ejected;
+                continue;
+            }
+            n.offered += asked;
+            boolean busy = now < n.busyUntil;
+            usable += busy && usable > 0 ? 0 : 1;
+            // Where all are busy, a key had better wait for its owner than make the others do its cold work.
+            if (!hasRoom(n, r, usable == 1 || keyless ? 1 : SPILL_ROOM)) {
+                continue;
+            }
+            boolean wait = keyless && now >= n.connectedUntil && opening != null && opening != n;
+            // A fragile request goes only where nothing failed lately, if it can.
+            boolean sure = r.type.effect() != Effect.FRAGILE || n.failShare < GAIN;
+            if (!wait && !busy && sure && withinBound(r, n)) {
+                return n;
+            }
+            if (spare == null || flawed && !wait && !busy) {
+                spare = n;
+                flawed = wait || busy;
+            }
+        }
+        return usable > 0 ? spare : ejected;
+    }
+
+    /**
+     * Bounded load, in expectation: of what is asked of it, an endpoint takes the part that keeps it under
+     * {@code BOUND} times its fair share of all. An instance that sends little sees a hot key not by its own
+     * attempts out but by what it is asked for over a while. Half a deviation is granted to chance.
+     */
+    private boolean withinBound(Req r, Node n) {
+        double asked = n.offered - 0.5 * Math.sqrt(n.offered);
+        return !r.cautious || asked <= 0 || draw(r, n) * asked < BOUND * offered * n.capacity / capacity;
+    }
+
+    /** Brings up to date each endpoint's capacity (size, ramp, speed of its kind) and what was asked. */
+    private void weigh(long now) {
+        double keep = Math.exp((double) (weighedAt - now) / ASKED_US);
+        weighedAt = now;
+        offered *= keep;
+        capacity = 0;
+        double best = listed.stream().mapToDouble(n -> kindRatio[n.kind]).min().orElse(1);
+        double heard = 1;
+        double late = 0;
+        for (Node n : listed) {
+            if (now - n.heardAt < ASKED_US) {
+                heard++;
+                late += n.late ? 1 : 0;
+            }
+            n.offered *= keep;
+            n.limit = n.limit < 1 ? Math.min(1, n.limit / keep) : n.limit;
+            n.capacity = size(n) * ramp(n, now) * Math.max(LEAST_KIND, best / kindRatio[n.kind]);
+            capacity += n.ready && !n.ejected ? n.capacity : 0;
+        }
+        lateShare = late / heard;
+    }
+
+    // ---- slow start ----------------------------------------------------------------------------------
+
+    /** The share of its capacity that a cold endpoint surely has: rises evenly over the stated time. */
+    private double ramp(Node n, long now) {
+        if (!n.cold) {
+            return 1;
+        }
+        Contract c = settings.contract();
+        double part = c.coldUs() == 0 ? 1 : Math.max(0.0, now - n.warmFrom) / c.coldUs();
+        n.cold = part < 1;
+        return Math.min(1, c.coldFrom() + (1 - c.coldFrom()) * part);
+    }
+
+    /**
+     * A cold endpoint takes no more than its credit: its part, by ramped capacity, of what this instance
+     * sends to all, from a random start below one. So however many instances there are and however little
+     * each of them sends, their sum is the endpoint's part, from its first moment on.
+     */
+    private boolean coldAdmits(Node n, long now) {
+        if (!n.cold) {
+            return true;
+        }
+        double own = size(n) * ramp(n, now);
+        n.credit = Math.min(MOST_CREDIT, n.credit + own / Math.max(capacity, own) * (sends - n.creditAt));
+        n.creditAt = sends;
+        return n.credit >= 1;
+    }
+
+    // ---- health --------------------------------------------------------------------------------------
+
+    private void learnLag(Attempt a, long lag, long now, boolean served) {
+        int c = a.req.in.classIndex();
+        Node n = a.node;
+        kindRatio[n.kind] += (Math.min(lag / usualLag[c], 20) - kindRatio[n.kind]) * POOL_GAIN;
+        boolean late = !served || crowded(a, lag);
+        n.late = late;
+        n.heardAt = now;
+        strain += ((late ? 1 : 0) - strain) * POOL_GAIN;
+        if (served) {
+            meanLag[c] += (lag - meanLag[c]) * CLASS_GAIN;
+            usualLag[c] = Math.min(usualLag[c], meanLag[c]);
+        }
+        if (late) {
+            double spread = many ? Math.max(0, Math.min(1, LATE_SLOPE * (lateShare - FEW_LATE))) : 0;
+            double cut = (served ? ADMIT_CUT / 2 : ADMIT_CUT) * spread;
+            admitted = Math.max(LEAST_LIMIT, admitted * (1 - cut));
+            n.everCut = true;
+            double used = many ? Math.min(n.limit, n.outstanding.size() + 1) : n.limit;
+            n.limit = Math.max(LEAST_LIMIT, (served ? CUT : LOSS_CUT) * used);
+            return;
+        }
+        admitted = Math.min(1, admitted + ADMIT_GROW);
+        n.promptAt = now;
+        if (n.outstanding.size() + 1 >= n.limit / 2) {
+            n.limit += !n.everCut ? GROW : n.limit < 1 ? REGAIN * n.limit : GROW / n.limit;
+        }
+    }
+
+    private boolean crowded(Attempt a, long lag) {
+        double usual = usualLag[a.req.in.classIndex()];
+        return a.at >= wokeAt && lag > Math.min(CROWDED * usual,
+                Math.max(CROWDED_AIM * a.req.type.aimUs(), ORDINARY * usual));
+    }
+
+    /** Whether the endpoint's limit leaves room; one under 1 is the share of requests that may go there. */
+    private static boolean hasRoom(Node n, Req r, double part) {
+        int size = n.outstanding.size();
+        double room = part * n.limit;
+        return room >= 1 ? size + 1 <= room : size == 0 && draw(r, n) < room;
+    }
+
+    /** The request's lot at an endpoint: drawn once, so that waiting does not change it. */
+    private static double draw(Req r, Node n) {
+        return (HASH.hashLongLongToLong(r.order * 0x9e3779b97f4a7c15L ^ r.hash, n.hash) >>> 11) * 0x1p-53;
+    }
+
+    private void learnFailure(Node n, Outcome outcome, long now) {
+        boolean bad = outcome != Outcome.OK && outcome != Outcome.QUEUE_FULL;
+        n.failShare += ((bad ? 1 : 0) - n.failShare) * GAIN;
+        if (outcome == Outcome.CONNECT_ERROR) {
+            n.connectedUntil = now;
+            eject(n, now, true);
+        } else if (bad && n.failShare >= FAIL_SHARE) {
+            eject(n, now, false);
+        }
+    }
+
+    /** Ejects unless too much of the ring would be out on suspicion: then the trouble is elsewhere. */
+    private void eject(Node n, long now, boolean down) {
+        if (!n.onRing || n.ejected && now < n.ejectedUntil) {
+            return;
+        }
+        double all = listed.stream().mapToDouble(o -> o.weight).sum();
+        double outWeight = listed.stream().filter(o -> o.ejected || o == n).mapToDouble(o -> o.weight).sum();
+        if (!down && !n.ejected && outWeight > MOST_EJECTED * all) {
+            return;
+        }
+        boolean soon = now - n.ejectedUntil < LONGEST_EJECT_US && n.ejectedFor > 0;
+        n.ejectedFor = soon ? Math.min(2 * n.ejectedFor, LONGEST_EJECT_US) : EJECT_US;
+        n.ejectedUntil = now + n.ejectedFor;
+        n.ejected = true;
+        n.down |= down;
+        n.trial = null;
+    }
+
+    /** After its ejection an endpoint serves one trial at a time, of the safest effect there is. */
+    private boolean trialDue(Node n, Req r, long now) {
+        return now >= n.ejectedUntil && n.trial == null && r.type.effect() == safest;
+    }
+
+    private void trialEnded(Node n, Outcome outcome, long lag, Attempt a, long now) {
+        n.trial = null;
+        boolean wasDown = n.down;
+        if (outcome != Outcome.OK || crowded(a, lag)) {
+            eject(n, now, wasDown && outcome == Outcome.CONNECT_ERROR);
+            return;
+        }
+        readmit(n);
+        if (wasDown) {
+            // It was away: whether or not discovery says so, it may have started afresh.
+            cool(n, now);
+        }
+    }
+
+    /** Starts the slow start of an endpoint whose process began at {@code from}. */
+    private void cool(Node n, long from) {
+        n.cold = true;
+        n.warmFrom = from;
+        n.credit = random.nextDouble();
+        n.creditAt = sends;
+    }
+
+    private static void readmit(Node n) {
+        n.ejected = false;
+        n.down = false;
+        n.trial = null;
+        n.failShare = 0;
+        n.limit = FIRST_LIMIT;
+    }
+
+    /** Finds silent endpoints; attempts waiting on a silent one are moved where effects permit. */
+    private void sweep(long now) {
+        for (int c = 0; c < usualLag.length; c++) {
+            usualLag[c] = Math.min(meanLag[c], usualLag[c] * (1 + USUAL_RISE * SWEEP_US / 1e6));
+        }
+        weigh(now);
+        for (Node n : listed) {
+            if (silent(n, now)) {
+                eject(n, now, false);
+                n.outstanding.stream().filter(a -> n.ejected && open.get(a.req.in.id()) == a.req)
+                        .filter(a -> mayResend(a.req, now)).forEach(this::cancel);
+            }
+        }
+    }
+
+    private boolean silent(Node n, long now) {
+        for (Attempt a : n.outstanding) {
+            if (!a.streaming && !a.canceled) {
+                double usual = usualLag[a.req.in.classIndex()];
+                double patience = Math.max(SILENT_LAGS * usual, SILENT_AIM * a.req.type.aimUs());
+                return now - Math.max(Math.max(a.at, n.lastAnswer), wokeAt) > patience;
+            }
+        }
+        return false;
+    }
+
+    // ---- requests ------------------------------------------------------------------------------------
+
+    @Override
+    public void onRequest(long now, Request in) {
+        if (open.containsKey(in.id()) || in.classIndex() < 0 || in.classIndex() >= usualLag.length) {
+            return;
+        }
+        long hash = in.key() != null ? HASH.hashCharsToLong(in.key()) : random.nextLong();
+        RequestClass type = settings.classes().get(in.classIndex());
+        // An unmarked repeat shows by its budget: less than a whole try's of late, what patience is left.
+        whole[in.classIndex()] = Math.max(in.budgetUs(), whole[in.classIndex()] * WHOLE_FADE);
+        boolean repeat = in.repeat() || in.budgetUs() < WHOLE_TRY * whole[in.classIndex()];
+        double worth = type.worth() * tenantWorth(in, now) * (repeat ? REPEAT_WORTH : 1);
+        Req r = new Req(in, type, hash, now, worth, ++requests);
+        open.put(in.id(), r);
+        retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_EARN);
+        r.cautious = random.nextDouble() < (many ? CAUTION : CAUTION / 2) * strain;
+        if (admits(r)) {
+            place(r, now);
+        } else {
+            finish(r);
+        }
+        arm(now);
+    }
+
+    /** Spends a saved admission, if enough would be left for worthier requests. */
+    private boolean admits(Req r) {
+        saved = admitted >= 1 ? MOST_SAVED : Math.min(MOST_SAVED, saved + admitted);
+        if (saved < 1 + (MOST_SAVED - 1) * (1 - r.worth / mostWorth)) {
+            return false;
+        }
+        saved--;
+        return true;
+    }
+
+    /** Expected worth of a request of this tenant, as a share: what is beyond its own counts less. */
+    private double tenantWorth(Request in, long now) {
+        int t = in.tenant();
+        if (t < 0 || t >= tenantRecent.length) {
+            return 1;
+        }
+        double keep = Math.exp(-(now - tenantAt) / FORGET_US);
+        tenantAt = now;
+        tenantTotal = tenantTotal * keep + 1;
+        for (int i = 0; i < tenantRecent.length; i++) {
+            tenantRecent[i] *= keep;
+        }
+        tenantRecent[t]++;
+        // Few requests meet by chance: one deviation is granted, or small tenants would always be over.
+        double within = settings.tenantShares().get(t) * tenantTotal
+                / Math.max(1e-9, tenantRecent[t] - Math.sqrt(tenantRecent[t]));
+        return within >= 1 ? 1 : within + (1 - within) * settings.overShareWorth();
+    }
+
+    /** First placement, also after a probe. */
+    private void place(Req r, long now) {
+        Node n = pick(r, now);
+        if (n == null) {
+            hold(r, now);
+        } else if (doubtful(r, n, now)) {
+            probe(r, n, now);
+        } else {
+            dispatch(r, n, now);
+        }
+    }
+
+    /** Whether to probe first: nothing came back promptly from there of late, and there is time for it. */
+    private boolean doubtful(Req r, Node n, long now) {
+        long patience = probePatience(r);
+        return settings.limits().mayProbe() && many && r.cautious
+                && strain > PROBE_PAYS * settings.probePrice() && r.probes < MOST_PROBES
+                && now >= n.busyUntil && !n.ejected && now - n.promptAt > PROMPT_US
+                && r.worthUntil() - now > 4 * patience;
+    }
+
+    private long probePatience(Req r) {
+        return (long) Math.min(PROBE_AIM * r.type.aimUs(), PROBE_LAGS * usualLag[r.in.classIndex()]);
+    }
+
+    private void probe(Req r, Node n, long now) {
+        r.probes++;
+        r.probe = n;
+        r.probeUntil = now + probePatience(r);
+        nextProbe = Math.min(nextProbe, r.probeUntil);
+        probing.add(r);
+        out.probe(n.id);
+    }
+
+    @Override
+    public void onProbeEnded(long now, String endpointId, Outcome outcome, long lagUs) {
+        Node n = nodes.get(endpointId);
+        if (n == null) {
+            return;
+        }
+        if (outcome == Outcome.OK) {
+            n.lastAnswer = now;
+        }
+        endProbes(now, n, outcome == Outcome.OK ? lagUs : Long.MAX_VALUE);
+        retryHeld(now);
+        arm(now);
+    }
+
+    /** Sends on the requests whose probe came back, or took too long: then the endpoint is passed over. */
+    private void endProbes(long now, Node back, long lag) {
+        nextProbe = Long.MAX_VALUE;
+        for (Req r : List.copyOf(probing)) {
+            Node n = r.probe;
+            boolean answered = n == back;
+            if (answered || now >= r.probeUntil) {
+                probing.remove(r);
+                if (answered && lag <= probePatience(r)) {
+                    n.promptAt = now;
+                } else {
+                    n.busyUntil = Math.max(n.busyUntil, now + probePatience(r));
+                }
+                place(r, now);
+            } else {
+                nextProbe = Math.min(nextProbe, r.probeUntil);
+            }
+        }
+    }
+
+    /** Sends, unless the answer would come too late to earn anything. */
+    private void dispatch(Req r, Node n, long now) {
+        if (usualLag[r.in.classIndex()] > r.worthUntil() - now) {
+            finish(r);
+        } else {
+            send(r, n, now);
+        }
+    }
+
+    private void hold(Req r, long now) {
+        if (r.holdUntil == 0) {
+            r.holdUntil = now + (long) (HOLD_AIM * (r.aimAt - now) * r.worth / mostWorth);
+        }
+        if (now < r.holdUntil) {
+            held.add(r);
+            nextHold = Math.min(nextHold, r.holdUntil);
+        } else {
+            finish(r);
+        }
+    }
+
+    /** Ends holds that are over; places the rest, worthiest first (between ends only the first few). */
+    private void retryHeld(long now) {
+        if (held.isEmpty() && now < nextHold) {
+            return;
+        }
+        List<Req> first = now >= nextHold ? List.copyOf(held) : held.stream().limit(16).toList();
+        nextHold = now >= nextHold ? Long.MAX_VALUE : nextHold;
+        int stuck = 0;
+        for (Req r : first) {
+            boolean over = now >= r.holdUntil;
+            Node n = over || stuck < 2 ? pick(r, now) : null;
+            if (n != null) {
+                held.remove(r);
+                dispatch(r, n, now);
+            } else if (over) {
+                finish(r);
+            } else {
+                stuck++;
+                nextHold = Math.min(nextHold, r.holdUntil);
+            }
+        }
+    }
+
+    private void send(Req r, Node n, long now) {
+        Attempt a = new Attempt(r, n, r.attempts.size(), now);
+        r.attempts.add(a);
+        r.outstanding++;
+        n.outstanding.add(a);
+        n.credit--;
+        sends++;
+        if (n.ejected && now >= n.ejectedUntil && n.trial == null) {
+            n.trial = a;
+        }
+        if (now >= n.connectedUntil && opening == null) {
+            opening = n;
+        }
+        out.send(r.in.id(), n.id, timeout(r, now));
+    }
+
+    /** An attempt ends when its answer is worth nothing, or earlier where another attempt could follow. */
+    private long timeout(Req r, long now) {
+        long left = Math.max(1, r.worthUntil() - now);
+        int most = r.type.effect() == Effect.FRAGILE ? 0 : settings.limits().maxAttempts();
+        double least = Math.max(ATTEMPT_PART * left, SILENT_LAGS * usualLag[r.in.classIndex()]);
+        return r.attempts.size() < most ? (long) Math.min(left, least) : left;
+    }
+
+    // ---- effects -------------------------------------------------------------------------------------
+
+    /** The earliest attempt that may have run or may yet; it binds what may follow. */
+    private static Attempt bond(Req r) {
+        for (Attempt a : r.attempts) {
+            if (a.mayHaveRun()) {
+                return a;
+            }
+        }
+        return null;
+    }
+
+    private static boolean inGroup(Req r, Attempt bond, Node n) {
+        return bond == null || r.type.effect() != Effect.DEDUP || r.type.scope() == DedupScope.ALL
+                || (r.type.scope() == DedupScope.ZONE ? n.zone == bond.node.zone : n.cell == bond.node.cell);
+    }
+
+    /** Whether a further attempt is harmless, has time, and the retry budget allows it. */
+    private boolean mayResend(Req r, long now) {
+        Attempt bond = bond(r);
+        boolean harmless = bond == null || r.type.effect() == Effect.RETRYABLE
+                || r.type.effect() == Effect.DEDUP && now < bond.at + r.type.dedupWindowUs();
+        return harmless && r.attempts.size() < settings.limits().maxAttempts() && retryTokens >= 1
+                && r.worthUntil() - now > usualLag[r.in.classIndex()] / 2;
+    }
+
+    private boolean mayRefuse(Req r) {
+        return bond(r) == null || r.type.effect() == Effect.RETRYABLE
+                || r.type.effect() == Effect.DEDUP && r.type.scope() == DedupScope.ALL;
+    }
+
+    /** The final answer where none was served. */
+    private void finish(Req r) {
+        drop(r);
+        if (mayRefuse(r)) {
+            out.refuse(r.in.id(), Math.min(settings.limits().maxRetryAfterUs(), r.type.aimUs() / 8));
+        } else {
+            out.fail(r.in.id());
+        }
+        r.attempts.forEach(this::cancel);
+    }
+
+    /** Stops waiting for an attempt that is out and may be cancelled. */
+    private void cancel(Attempt a) {
+        if (a.outcome == null && !a.canceled && !a.streaming && settings.limits().mayCancel()) {
+            a.canceled = true;
+            out.cancel(a.req.in.id(), a.number);
+        }
+    }
+
+    private void drop(Req r) {
+        open.remove(r.in.id());
+        held.remove(r);
+        probing.remove(r);
+        if (r.outstanding > 0) {
+            ended.put(r.in.id(), r);
+        }
+    }
+
+    // ---- outcomes ------------------------------------------------------------------------------------
+
+    @Override
+    public void onRequestGone(long now, String id) {
+        Req r = open.get(id);
+        if (r != null) {
+            drop(r);
+            r.attempts.forEach(this::cancel);
+        }
+    }
+
+    @Override
+    public void onStreamStarted(long now, String id, int number) {
+        Req r = open.get(id);
+        if (r != null && number >= 0 && number < r.attempts.size()) {
+            Attempt a = r.attempts.get(number);
+            a.streaming = true;
+            a.node.lastAnswer = now;
+        }
+    }
+
+    @Override
+    public void onAttemptEnded(long now, AttemptEnd end) {
+        Req r = open.get(end.requestId());
+        boolean alive = r != null;
+        r = alive ? r : ended.get(end.requestId());
+        if (r == null || end.attempt() < 0 || end.attempt() >= r.attempts.size()
+                || r.attempts.get(end.attempt()).outcome != null) {
+            return;
+        }
+        Attempt a = r.attempts.get(end.attempt());
+        a.outcome = end.outcome();
+        a.node.outstanding.remove(a);
+        if (!a.node.onRing && a.node.outstanding.isEmpty()) {
+            nodes.remove(a.node.id, a.node);
+        }
+        r.outstanding--;
+        if (r.outstanding == 0) {
+            ended.remove(end.requestId());
+        }
+        look(now);
+        learn(a, end, now);
+        if (alive && end.requestDone()) {
+            drop(r);
+        } else if (alive && r.outstanding == 0) {
+            again(r, now);
+        }
+        retryHeld(now);
+        arm(now);
+    }
+
+    private void learn(Attempt a, AttemptEnd end, long now) {
+        Node n = a.node;
+        Outcome o = end.outcome();
+        if (opening == n) {
+            opening = null;
+        }
+        if (o == Outcome.OK || o == Outcome.FAILED || o == Outcome.QUEUE_FULL) {
+            n.lastAnswer = now;
+            n.connectedUntil = now + settings.limits().connIdleUs();
+        }
+        if (o == Outcome.OK && !a.streaming) {
+            learnLag(a, end.lagUs(), now, true);
+        } else if ((o == Outcome.TIMED_OUT || o == Outcome.CANCELED && a.canceled)
+                && crowded(a, end.lagUs())) {
+            // A loss tells of the endpoint only after an ordinary answer's time; else of the client.
+            learnLag(a, end.lagUs(), now, false);
+        }
+        if (n.trial == a) {
+            trialEnded(n, o, end.lagUs(), a, now);
+        } else if (o != Outcome.CANCELED && o != Outcome.IGNORED && o != Outcome.TIMED_OUT) {
+            learnFailure(n, o, now);
+        }
+    }
+
+    /** After a failed attempt: the next owner on the ring, or the final answer. */
+    private void again(Req r, long now) {
+        Node n = mayResend(r, now) ? pick(r, now) : null;
+        if (n != null) {
+            retryTokens--;
+            send(r, n, now);
+        } else {
+            finish(r);
+        }
+    }
+
+    // ---- time ----------------------------------------------------------------------------------------
+
+    @Override
+    public void onTimer(long now) {
+        look(now);
+        if (now >= wakeAt) {
+            wakeAt = Long.MAX_VALUE;
+        }
+        if (now >= nextSweep) {
+            nextSweep = now + SWEEP_US;
+            sweep(now);
+        }
+        if (now >= nextProbe && now > wokeAt) {
+            endProbes(now, null, 0);
+        }
+        retryHeld(now);
+        arm(now);
+    }
+
+    /** A wake-up long overdue tells that this process stood still: nothing is judged by what it missed. */
+    private void look(long now) {
+        if (now - 2 * SWEEP_US > wakeAt) {
+            wokeAt = now;
+        }
+    }
+
+    /** Asks discovery if that is due, and sets the next wake-up while there is anything to wait for. */
+    private void arm(long now) {
+        boolean mustAsk = settings.subscribe() && !asking && !subscribed;
+        if (mustAsk && now >= askAt) {
+            ask();
+            mustAsk = false;
+        }
+        long next = !open.isEmpty() ? Math.max(nextSweep, now + 1) : Long.MAX_VALUE;
+        // A hold may be shorter than a sweep: a try with little time left must still be answered in it.
+        next = Math.min(next, Math.max(Math.min(nextHold, nextProbe), now + 1));
+        if (mustAsk) {
+            next = Math.min(next, Math.max(askAt, now + 1));
+        }
+        if (next < wakeAt) {
+            wakeAt = next;
+            out.wakeAt(next);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/mulleinfront/benchlink/AdapterTest.java
@@ -0,0 +1,97 @@
+package mulleinfront.benchlink;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** Wire transcripts: what goes in, what must come out. */
+class AdapterTest {
+    private static final String BOOT = "{\"m\":\"BOOT\",\"rngSeed\":7930985574052168,\"bootInfo\":{\"balancers\":2,"
+            + "\"unheardOf\":[1,{\"a\":null}],\"classes\":[{\"name\":\"c\",\"effect\":\"retryable\",\"dedupScope\":\"all\","
+            + "\"onTimeUs\":500000,\"deadlineUs\":2000000,\"worth\":1}],\"limits\":{\"maxAttempts\":3}}}";
+    private static final String LIST = "{\"m\":\"CATALOG\",\"table\":0,\"rowsIn\":[{\"host\":\"10.0.0.1:80\",\"az\":0,"
+            + "\"machine\":0,\"cohort\":0,\"availability\":\"Ready\",\"rating\":1,\"cameUpUs\":null}]},"
+            + "{\"m\":\"DISCOVERY\",\"how\":\"cached\",\"seqNo\":41,\"table\":0}";
+
+    private static String play(String input) throws IOException {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        Adapter.run(new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), out);
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    private static String batch(long now, String events) {
+        return "{\"wallUs\":" + now + ",\"proxys\":[{\"i\":3,\"in\":[" + events + "]}]}\n";
+    }
+
+    private static String order(String id) {
+        return "{\"m\":\"ORDER\",\"xid\":\"" + id + "\",\"budgetUs\":240000,\"bits\":1,\"tierClass\":0,"
+                + "\"expectedUs\":12000,\"routeKey\":\"91f03b7c55d20a64\",\"customer\":null}";
+    }
+
+    @Test
+    void emptyBatchesGetEmptyReplies() throws IOException {
+        String empty = "{\"wallUs\":8412250,\"proxys\":[]}\n";
+        assertEquals("{\"proxys\":[]}\n{\"proxys\":[]}\n", play(empty + "\n" + empty));
+        assertEquals("", play(""));
+    }
+
+    @Test
+    void aRequestIsForwardedAndServed() throws IOException {
+        String out = play(batch(10, BOOT + "," + LIST) + batch(5010, order("c50b12855d3a91c4"))
+                + batch(9010, "{\"m\":\"ENDED\",\"xid\":\"c50b12855d3a91c4\",\"host\":\"10.0.0.1:80\",\"outcome\":\"Ok\","
+                        + "\"complete\":true,\"hop\":0,\"lagUs\":4000,\"report\":null}"));
+        String[] lines = out.split("\n");
+        assertEquals(3, lines.length);
+        assertTrue(lines[1].startsWith("{\"proxys\":[{\"i\":3,\"actions\":[{\"m\":\"FORWARD\","
+                + "\"xid\":\"c50b12855d3a91c4\",\"host\":\"10.0.0.1:80\",\"tryForUs\":"), lines[1]);
+        assertFalse(lines[2].contains("FORWARD"), lines[2]);
+    }
+
+    @Test
+    void oddButLegalBatchesAreUnderstood() throws IOException {
+        // Fields in another order, a group twice, a table replaced in one batch, events of an unknown instance.
+        String odd = "{\"proxys\":[{\"in\":[" + BOOT + "," + LIST + "],\"i\":1},{\"i\":9,\"in\":[" + order("00") + "]},"
+                + "{\"i\":1,\"in\":[" + LIST.replace("10.0.0.1", "10.0.0.2").replace("cached", "full") + ","
+                + order("01") + "]}],\"more\":{\"x\":[]},\"wallUs\":77}\n";
+        String out = play(odd);
+        assertTrue(out.contains("\"host\":\"10.0.0.2:80\""), out);
+        assertEquals(out.indexOf("\"i\":1"), out.lastIndexOf("\"i\":1"));
+        assertFalse(out.contains("\"i\":9"), out);
+    }
+
+    @Test
+    void aStoppedInstanceForgetsAndMayStartInTheSameBatch() throws IOException {
+        String out = play(batch(10, BOOT + "," + LIST + "," + order("01"))
+                + batch(20, "{\"m\":\"STOP\"},{\"m\":\"BELL\",\"name\":\"wake\"}")
+                + batch(30, "{\"m\":\"STOP\"}," + BOOT + "," + LIST + "," + order("02")));
+        String[] lines = out.split("\n");
+        assertEquals("{\"proxys\":[]}", lines[1]);
+        assertTrue(lines[2].contains("\"xid\":\"02\"") && !lines[2].contains("\"01\""), lines[2]);
+    }
+
+    @Test
+    void nonsensicalSettingsCrashByName() throws IOException {
+        String out = play(batch(10, BOOT.replace("500000", "-1")));
+        assertTrue(out.contains("\"m\":\"CRASH\"") && out.contains("onTimeUs"), out);
+        out = play(batch(10, BOOT.replace("retryable", "sometimes")));
+        assertTrue(out.contains("unknown effect sometimes"), out);
+    }
+
+    @Test
+    void malformedLinesEndWithOnePlainMessage() {
+        for (String bad : new String[] {"nonsense\n", "[]\n", "{\"proxys\":[]}\n", "{\"wallUs\":1,\"proxys\":{}}\n",
+            "{\"wallUs\":1,\"proxys\":[{\"in\":[]}]}\n", "{\"wallUs\":1,\"proxys\":[", batch(1, "{\"m\":null}"),
+            batch(1, "{\"m\":\"CATALOG\",\"table\":99,\"rowsIn\":[]}"), batch(1, BOOT + ",{\"m\":\"ENDED\",\"outcome\":\"?\"}")}) {
+            Exception e = assertThrows(IOException.class, () -> play(bad), bad);
+            assertFalse(Adapter.plain(e).contains("\n"));
+            assertTrue(Adapter.plain(e).startsWith("malformed input: "), Adapter.plain(e));
+        }
+    }
+}
