--- a/src/main/java/mulleinfront/benchlink/SettingsReader.java
+++ b/src/main/java/mulleinfront/benchlink/SettingsReader.java
@@ -16,9 +16,9 @@
 
 /**
  * The settings of a start, kept as read so that what is wrong with them can be said by name, and the
- * defaults of those that are absent.
+ * defaults of those that are absent. The client proxy on sockets reads the same object by it.
  */
-final class SettingsReader {
+public final class SettingsReader {
     private final Map<String, Object> root;
 
     private SettingsReader(Map<String, Object> root) {
@@ -26,7 +26,7 @@
     }
 
     /** Reads the object at the parser's place. */
-    static SettingsReader read(JsonParser in) throws IOException {
+    public static SettingsReader read(JsonParser in) throws IOException {
         if (in.currentToken() != JsonToken.START_OBJECT) {
             throw new WireException("bootInfo must be an object");
         }
@@ -61,8 +61,29 @@
         };
     }
 
+    /** The names of zones ({@code azs}) or of {@code kinds}: a place in the list is the number meant. */
+    public List<String> names(String list) {
+        List<String> names = new ArrayList<>();
+        list(root, list).forEach(o -> names.add(String.valueOf(o)));
+        return names;
+    }
+
+    /** The names of the tenants, in the order of their numbers. */
+    public List<String> tenants() {
+        List<String> names = new ArrayList<>();
+        for (Object o : list(root, "customers")) {
+            names.add(text(map(o, "customers"), "name", ""));
+        }
+        return names;
+    }
+
+    /** Time within which a connection must have come up, microseconds. */
+    public long dialTimeoutUs() {
+        return (long) number(map(root.get("limits"), "limits"), "dialTimeoutUs", 250_000);
+    }
+
     /** The module's settings; throws {@link IllegalArgumentException} naming what is nonsensical. */
-    Settings toSettings() {
+    public Settings toSettings() {
         List<RequestClass> classes = new ArrayList<>();
         for (Object o : list(root, "classes")) {
             classes.add(requestClass(map(o, "classes")));
--- /dev/null
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -0,0 +1,348 @@
+package mulleinfront.proxy;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import mulleinfront.Balancer;
+import mulleinfront.Balancer.AttemptEnd;
+import mulleinfront.Balancer.DedupScope;
+import mulleinfront.Balancer.Effect;
+import mulleinfront.Balancer.Endpoint;
+import mulleinfront.Balancer.Outcome;
+import mulleinfront.Balancer.Request;
+import mulleinfront.Balancer.RequestClass;
+import mulleinfront.Balancer.Source;
+
+/**
+ * A client proxy on sockets: turns what happens on them into the module's events and carries out what it
+ * decides. One event-loop thread owns all of it, so nothing here is locked and nothing may block.
+ */
+public final class ClientProxy implements Balancer.Actions {
+    /** We are done this long before the client's time is up: the way back and a busy core take time. */
+    private static final long MARGIN_US = 25_000;
+    /** What the module is told ends this much earlier still, so that its own last word comes first. */
+    private static final long LAST_WORD_US = 10_000;
+    private static final long MOST_DEADLINE_MS = 3_600_000;
+    /** The agent that pushes lists answers at once and at no cost, unlike discovery that is asked. */
+    private static final long AGENT_AGAIN_MS = 500;
+
+    private final Config config;
+    private final EventLoopGroup group;
+    private final EventLoop loop;
+    private final Clock clock = new Clock();
+    private final Upstream upstream;
+    private final Discovery discovery;
+    private final Frontend frontend;
+    private final Map<String, Integer> classes;
+    private final Map<String, Exchange> open = new HashMap<>();
+    /** Events for the module and its actions, in order; see {@link #run}. */
+    private final ArrayDeque<Runnable> work = new ArrayDeque<>();
+    private boolean working;
+    private Balancer balancer;
+    private ScheduledFuture<?> wake;
+
+    private ClientProxy(Config config, EventLoopGroup group) {
+        this.config = config;
+        this.group = group;
+        this.loop = group.next();
+        this.upstream = new Upstream(loop, config.dialTimeoutUs(), config.settings().limits().connIdleUs());
+        this.discovery = new Discovery(config, loop, upstream, new Discovery.Listener() {
+            @Override
+            public void listed(Source source, List<Endpoint> endpoints) {
+                run(() -> balancer.onEndpoints(now(), source, endpoints));
+            }
+
+            @Override
+            public void failed() {
+                watchFailed();
+            }
+        });
+        this.frontend = new Frontend(this, loop);
+        List<RequestClass> all = config.settings().classes();
+        this.classes = all.stream().collect(Collectors.toMap(RequestClass::name, all::indexOf));
+    }
+
+    /** A request taken and not yet forgotten. */
+    static final class Exchange {
+        private final Frontend.Client client;
+        private final Request request;
+        private final RequestClass type;
+        private final Call call;
+        private final long endAt;
+        private ScheduledFuture<?> guard;
+        private Upstream.Attempt out;
+        private int attempts;
+        private boolean mayHaveRun;
+        private boolean answered;
+
+        Exchange(Frontend.Client client, Request request, RequestClass type, Call call, long endAt) {
+            this.client = client;
+            this.request = request;
+            this.type = type;
+            this.call = call;
+            this.endAt = endAt;
+        }
+    }
+
+    /** Starts to serve; returns once it listens. */
+    public static ClientProxy start(Config config) throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try {
+            ClientProxy proxy = new ClientProxy(config, group);
+            proxy.loop.submit(proxy::begin).get();
+            proxy.frontend.listen(config.listen()).sync();
+            return proxy;
+        } catch (Exception e) {
+            group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+            throw e;
+        }
+    }
+
+    private void begin() {
+        run(() -> balancer = Balancer.create(config.settings(), config.seed(), now(), this));
+        if (config.known() != null) {
+            discovery.take(config.known(), Source.CACHED);
+        }
+        if (!config.settings().subscribe()) {
+            discovery.watch();
+        }
+    }
+
+    /** Serves to the end what clients have sent or are about to; the future is done when all has ended. */
+    public Future<?> drain() {
+        loop.execute(() -> frontend.drain(() -> {
+            discovery.stop();
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }));
+        return group.terminationFuture();
+    }
+
+    long now() {
+        return clock.now();
+    }
+
+    boolean ready() {
+        return discovery.holdsList();
+    }
+
+    /**
+     * Runs an event or an action now, or after the one that is running. The module makes its decisions
+     * inside an event call, and a socket may have news inside an action: neither may re-enter the module.
+     * A failure ends the one task; the request it was about still has its guard.
+     */
+    private void run(Runnable task) {
+        work.add(task);
+        if (working) {
+            return;
+        }
+        working = true;
+        for (Runnable next; (next = work.poll()) != null;) {
+            try {
+                next.run();
+            } catch (RuntimeException e) {
+                System.err.println("mulleinfront: " + e + " at " + e.getStackTrace()[0]);
+            }
+        }
+        working = false;
+    }
+
+    // ---- clients -------------------------------------------------------------------------------------
+
+    /** Takes a request that is as the protocol says; null if it is not. */
+    Exchange take(Frontend.Client client, FullHttpRequest in, long at) {
+        HttpHeaders h = in.headers();
+        String id = h.get("X-Request-Id");
+        Integer classIndex = classes.get(String.valueOf(h.get("X-Class")));
+        long deadlineMs = number(h.get(Call.DEADLINE));
+        String tenantName = h.get("X-Tenant");
+        int tenant = config.tenants().indexOf(tenantName);
+        boolean known = tenantName == null || config.tenants().isEmpty() || tenant >= 0;
+        if (id == null || id.isEmpty() || open.containsKey(id) || classIndex == null || deadlineMs < 1 || !known) {
+            return null;
+        }
+        RequestClass type = config.settings().classes().get(classIndex);
+        Effect shown = in.method().name().equals("GET") ? Effect.RETRYABLE
+                : !in.method().name().equals("POST") ? null
+                : h.contains("Idempotency-Key") ? Effect.DEDUP : Effect.FRAGILE;
+        if (type.effect() != shown) {
+            return null;
+        }
+        long deadlineUs = Math.min(deadlineMs, MOST_DEADLINE_MS) * 1000;
+        long patience = deadlineUs - Math.min(MARGIN_US, deadlineUs / 4);
+        long budget = Math.max(1, patience - Math.min(LAST_WORD_US, deadlineUs / 8) - (now() - at));
+        Request request = new Request(id, classIndex, h.get("X-Key"), budget,
+                Math.max(0, number(h.get("X-Cost-Hint"))), tenant, "1".equals(h.get("X-Retry")));
+        Exchange x = new Exchange(client, request, type, Call.of(in), now() + budget);
+        open.put(id, x);
+        x.guard = loop.schedule(() -> timeUp(x), at + patience - now(), TimeUnit.MICROSECONDS);
+        return x;
+    }
+
+    void place(Exchange x) {
+        run(() -> balancer.onRequest(now(), x.request));
+    }
+
+    private static long number(String text) {
+        try {
+            return text == null ? -1 : Long.parseLong(text);
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    /** The client closed its connection. */
+    void gone(Exchange x) {
+        over(x);
+        tellGone(x);
+    }
+
+    /** Whatever the module does, the client has an answer in time, and a refusal only if that is true. */
+    private void timeUp(Exchange x) {
+        if (!x.answered) {
+            over(x);
+            boolean harmless = x.type.effect() == Effect.RETRYABLE || !x.mayHaveRun && x.out == null
+                    || x.type.effect() == Effect.DEDUP && x.type.scope() == DedupScope.ALL;
+            x.client.answer(harmless ? HttpResponseStatus.SERVICE_UNAVAILABLE
+                    : HttpResponseStatus.GATEWAY_TIMEOUT);
+            tellGone(x);
+        }
+    }
+
+    private void over(Exchange x) {
+        x.answered = true;
+        x.guard.cancel(false);
+    }
+
+    private void tellGone(Exchange x) {
+        run(() -> {
+            balancer.onRequestGone(now(), x.request.id());
+            forget(x);
+        });
+    }
+
+    /** After the actions already decided: they may still name the request. */
+    private void forget(Exchange x) {
+        work.add(() -> open.remove(x.request.id(), x));
+    }
+
+    // ---- the module's decisions ----------------------------------------------------------------------
+
+    @Override
+    public void send(String requestId, String endpointId, long timeoutUs) {
+        work.add(() -> {
+            Exchange x = open.get(requestId);
+            if (x != null) {
+                attempt(x, discovery.host(endpointId), timeoutUs);
+            }
+        });
+    }
+
+    private void attempt(Exchange x, Upstream.Host host, long timeoutUs) {
+        int number = x.attempts++;
+        long sentAt = now();
+        long left = x.endAt - sentAt;
+        boolean vain = x.answered || left <= 0 || timeoutUs < 0 || x.out != null || host == null
+                || number >= config.settings().limits().maxAttempts();
+        if (vain) {
+            ended(x, number, sentAt, Outcome.IGNORED);
+            return;
+        }
+        boolean[] over = {false};
+        Upstream.Attempt started = upstream.send(host, x.call, timeoutUs == 0 ? left : Math.min(left, timeoutUs),
+                () -> !x.answered, (outcome, answer) -> {
+                    over[0] = true;
+                    x.out = null;
+                    x.mayHaveRun |= !outcome.neverRan();
+                    if (outcome == Outcome.OK && !x.answered) {
+                        over(x);
+                        x.client.answer(HttpResponseStatus.OK, answer, 0);
+                        run(() -> forget(x));
+                    }
+                    ended(x, number, sentAt, outcome);
+                });
+        x.out = over[0] ? null : started;
+    }
+
+    private void ended(Exchange x, int number, long sentAt, Outcome outcome) {
+        boolean done = x.answered;
+        run(() -> balancer.onAttemptEnded(now(),
+                new AttemptEnd(x.request.id(), number, outcome, done, now() - sentAt)));
+    }
+
+    @Override
+    public void cancel(String requestId, int number) {
+        work.add(() -> {
+            Exchange x = open.get(requestId);
+            if (x != null && x.out != null && number == x.attempts - 1) {
+                x.out.cancel();
+            }
+        });
+    }
+
+    @Override
+    public void refuse(String requestId, long retryAfterUs) {
+        work.add(() -> conclude(requestId, HttpResponseStatus.SERVICE_UNAVAILABLE, retryAfterUs));
+    }
+
+    @Override
+    public void fail(String requestId) {
+        work.add(() -> conclude(requestId, HttpResponseStatus.BAD_GATEWAY, 0));
+    }
+
+    private void conclude(String requestId, HttpResponseStatus status, long retryAfterUs) {
+        Exchange x = open.get(requestId);
+        if (x != null && !x.answered) {
+            over(x);
+            x.client.answer(status, new Upstream.Answer(new byte[0], null), retryAfterUs);
+            forget(x);
+        }
+    }
+
+    @Override
+    public void probe(String endpointId) {
+        work.add(() -> {
+            long sentAt = now();
+            Upstream.Host host = discovery.host(endpointId);
+            Upstream.End end = (outcome, answer) -> run(
+                    () -> balancer.onProbeEnded(now(), endpointId, outcome, now() - sentAt));
+            if (host == null) {
+                end.ended(Outcome.IGNORED, null);
+            } else {
+                upstream.send(host, Call.health(), config.dialTimeoutUs(), () -> true, end);
+            }
+        });
+    }
+
+    @Override
+    public void subscribe() {
+        work.add(discovery::watch);
+    }
+
+    private void watchFailed() {
+        if (config.settings().subscribe()) {
+            run(() -> balancer.onDiscoveryFailed(now()));
+        } else {
+            loop.schedule(discovery::watch, AGENT_AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    @Override
+    public void wakeAt(long atUs) {
+        if (wake != null) {
+            wake.cancel(false);
+        }
+        wake = loop.schedule(() -> run(() -> balancer.onTimer(now())), atUs - now(), TimeUnit.MICROSECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -0,0 +1,209 @@
+package mulleinfront.proxy;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.MessageToMessageDecoder;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import mulleinfront.Balancer.Availability;
+import mulleinfront.Balancer.Endpoint;
+import mulleinfront.Balancer.Source;
+
+/**
+ * Discovery's watch, and the hosts as last listed. A watch that ends, falls silent or talks nonsense has
+ * failed, once; when to ask again is the module's to say, since discovery has little capacity.
+ */
+final class Discovery {
+    /** A heartbeat comes every 2 s: three missed ones and a little more are silence. */
+    private static final long SILENCE_MS = 6_500;
+    private static final int LONGEST_LINE = 4 * 1024 * 1024;
+
+    /** Told of lists and of watches that failed. */
+    interface Listener {
+        void listed(Source source, List<Endpoint> endpoints);
+
+        void failed();
+    }
+
+    private final InetSocketAddress address;
+    private final Bootstrap bootstrap;
+    private final Upstream upstream;
+    private final Listener listener;
+    private final Map<String, Upstream.Host> hosts = new HashMap<>();
+    /** Numbers by name. A name that the settings lack gets a number of its own: zones must not merge. */
+    private final Map<String, Integer> zones = new HashMap<>();
+    private final Map<String, Integer> kinds = new HashMap<>();
+    private long version = -1;
+    private Watch watch;
+
+    Discovery(Config config, EventLoop loop, Upstream upstream, Listener listener) {
+        this.address = config.discovery();
+        this.upstream = upstream;
+        this.listener = listener;
+        config.zones().forEach(name -> zones.put(name, zones.size()));
+        config.kinds().forEach(name -> kinds.put(name, kinds.size()));
+        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) SILENCE_MS);
+    }
+
+    /** The host of this id, or null if it is not listed. */
+    Upstream.Host host(String id) {
+        return hosts.get(id);
+    }
+
+    boolean holdsList() {
+        return !hosts.isEmpty();
+    }
+
+    /** Asks for what changed and for all changes to come, in place of the watch there was. */
+    void watch() {
+        stop();
+        Watch asked = new Watch();
+        watch = asked;
+        bootstrap.clone().handler(asked.pipeline()).connect(address).addListener(f -> {
+            if (!f.isSuccess()) {
+                asked.fail();
+            }
+        });
+    }
+
+    void stop() {
+        if (watch != null) {
+            Watch old = watch;
+            watch = null;
+            old.channel.close();
+        }
+    }
+
+    /** Takes over a list, first for the sockets and then for the module. */
+    void take(Listing listing, Source source) {
+        version = listing.version();
+        List<Endpoint> endpoints = new ArrayList<>();
+        Map<String, Upstream.Host> left = source == Source.DELTA ? new HashMap<>() : new HashMap<>(hosts);
+        for (Listing.Entry e : listing.entries()) {
+            left.remove(e.id());
+            endpoints.add(new Endpoint(e.id(), number(zones, e.zone()), e.cell(), number(kinds, e.kind()),
+                    e.availability(), e.weight(), e.startedMs() * 1000));
+            if (e.availability() == Availability.GONE) {
+                drop(hosts.get(e.id()));
+                continue;
+            }
+            Upstream.Host host = hosts.computeIfAbsent(e.id(), Upstream.Host::new);
+            boolean moved = host.address != null && !host.address.equals(e.address());
+            host.address = e.address();
+            host.ready = e.availability() == Availability.READY;
+            if (moved || !host.ready) {
+                upstream.hangUp(host);
+            }
+        }
+        left.values().forEach(this::drop);
+        listener.listed(source, endpoints);
+    }
+
+    private void drop(Upstream.Host host) {
+        if (host != null) {
+            host.ready = false;
+            hosts.remove(host.id);
+            upstream.hangUp(host);
+        }
+    }
+
+    private static int number(Map<String, Integer> numbers, String name) {
+        return numbers.computeIfAbsent(name, n -> numbers.size());
+    }
+
+    /** One call. It fails once, however it ends, unless it was given up for another. */
+    private final class Watch extends SimpleChannelInboundHandler<ByteBuf> {
+        private Channel channel;
+
+        ChannelInitializer<SocketChannel> pipeline() {
+            return new ChannelInitializer<>() {
+                @Override
+                protected void initChannel(SocketChannel ch) {
+                    channel = ch;
+                    ch.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
+                            new HttpResponseDecoder(), new Body(), new LineBasedFrameDecoder(LONGEST_LINE),
+                            Watch.this);
+                }
+            };
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            String after = version >= 0 ? "&after=" + version : "";
+            ctx.writeAndFlush(Unpooled.copiedBuffer("GET /api/targets?watch=1" + after + " HTTP/1.1\r\n"
+                    + "Host: discovery\r\n\r\n", StandardCharsets.US_ASCII));
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) throws IOException {
+            if (watch == this && line.isReadable()) {
+                Listing listing = Listing.parse(ByteBufUtil.getBytes(line));
+                take(listing, listing.full() ? Source.FULL : Source.DELTA);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            fail();
+        }
+
+        /** A bad line, a refusal, silence or a break: the call has failed, and nothing else has. */
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+
+        void fail() {
+            if (watch == this) {
+                watch = null;
+                listener.failed();
+            }
+        }
+    }
+
+    /** Hands on what a watch's answer holds; any answer but 200, or its end, is the end of the watch. */
+    private static final class Body extends MessageToMessageDecoder<HttpObject> {
+        Body() {
+            super(HttpObject.class);
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, HttpObject in, List<Object> out) throws IOException {
+            if (in.decoderResult().isFailure() || in instanceof HttpResponse r && r.status().code() != 200) {
+                throw new IOException("discovery refused the watch");
+            }
+            if (in instanceof HttpContent content && content.content().isReadable()) {
+                out.add(content.content().retain());
+            }
+            if (in instanceof LastHttpContent) {
+                ctx.close();
+            }
+        }
+    }
+}
