--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -50,11 +50,18 @@
     /** Events for the module and its actions, in order; see {@link #run}. */
     private final ArrayDeque<Runnable> work = new ArrayDeque<>();
     private boolean working;
+    private final Maker maker;
     private Balancer balancer;
     private ScheduledFuture<?> wake;
 
-    private ClientProxy(Config config, EventLoopGroup group) {
+    /** Makes the module; a test's own can do what the real one never would. */
+    interface Maker {
+        Balancer create(Balancer.Settings settings, long seed, long now, Balancer.Actions actions);
+    }
+
+    private ClientProxy(Config config, Maker maker, EventLoopGroup group) {
         this.config = config;
+        this.maker = maker;
         this.group = group;
         this.loop = group.next();
         this.upstream = new Upstream(loop, config.dialTimeoutUs(), config.settings().limits().connIdleUs());
@@ -98,9 +105,13 @@
 
     /** Starts to serve; returns once it listens. */
     public static ClientProxy start(Config config) throws Exception {
+        return start(config, Balancer::create);
+    }
+
+    static ClientProxy start(Config config, Maker maker) throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
-            ClientProxy proxy = new ClientProxy(config, group);
+            ClientProxy proxy = new ClientProxy(config, maker, group);
             proxy.loop.submit(proxy::begin).get();
             proxy.frontend.listen(config.listen()).sync();
             return proxy;
@@ -111,7 +122,7 @@
     }
 
     private void begin() {
-        run(() -> balancer = Balancer.create(config.settings(), config.seed(), now(), this));
+        run(() -> balancer = maker.create(config.settings(), config.seed(), now(), this));
         if (config.known() != null) {
             discovery.take(config.known(), Source.CACHED);
         }
@@ -129,6 +140,11 @@
         return group.terminationFuture();
     }
 
+    /** The port it listens on. */
+    int port() {
+        return frontend.port();
+    }
+
     long now() {
         return clock.now();
     }
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -70,6 +70,10 @@
         return bound;
     }
 
+    int port() {
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
     /**
      * Serves on while requests may come, each answer the last of its connection; then stops listening,
      * closes what is idle and runs {@code done} when the last client has its answer.
--- /dev/null
+++ b/src/test/java/mulleinfront/proxy/Peers.java
@@ -0,0 +1,255 @@
+package mulleinfront.proxy;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** The other ends of a client proxy, as small as they can be: plain sockets that do what a test says. */
+final class Peers {
+    /** Bound of every wait; a test that passes waits for no more than it needs. */
+    static final long PATIENCE_S = 30;
+
+    private Peers() {}
+
+    static <T> T next(BlockingQueue<T> queue, String what) throws InterruptedException {
+        T got = queue.poll(PATIENCE_S, TimeUnit.SECONDS);
+        if (got == null) {
+            throw new AssertionError("never came: " + what);
+        }
+        return got;
+    }
+
+    /** A message as it came: its first line and headers in lower case names, and its body. */
+    record Message(String first, List<String> headers, byte[] body) {
+        String header(String name) {
+            return headers.stream().filter(h -> h.toLowerCase(Locale.ROOT).startsWith(name + ":"))
+                    .map(h -> h.substring(name.length() + 1).strip()).findFirst().orElse(null);
+        }
+
+        String text() {
+            return new String(body, StandardCharsets.ISO_8859_1);
+        }
+
+        int status() {
+            return Integer.parseInt(first.split(" ")[1]);
+        }
+    }
+
+    /** Reads one message with a Content-Length or none; an end of the stream is an {@link IOException}. */
+    static Message read(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int b = in.read();
+            if (b < 0) {
+                throw new EOFException("ended after '" + head + "'");
+            }
+            head.write(b);
+        }
+        List<String> lines = List.of(head.toString(StandardCharsets.ISO_8859_1).strip().split("\r\n"));
+        Message bare = new Message(lines.get(0), lines.subList(1, lines.size()), new byte[0]);
+        int length = bare.header("content-length") == null ? 0 : Integer.parseInt(bare.header("content-length"));
+        byte[] body = in.readNBytes(length);
+        if (body.length < length) {
+            throw new EOFException("ended in the body");
+        }
+        return new Message(bare.first(), bare.headers(), body);
+    }
+
+    /** A listening peer: each message that comes is noted, then the script deals with it. */
+    static final class Server implements AutoCloseable {
+        final ServerSocket socket;
+        final BlockingQueue<Seen> seen = new LinkedBlockingQueue<>();
+        final List<Socket> connections = new CopyOnWriteArrayList<>();
+        private final Consumer<Seen> script;
+
+        Server(Consumer<Seen> script) throws IOException {
+            this.script = script;
+            this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+            start(this::accept);
+        }
+
+        String address() {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+
+        private static void start(Runnable task) {
+            Thread thread = new Thread(task);
+            thread.setDaemon(true);
+            thread.start();
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket s = socket.accept();
+                    connections.add(s);
+                    start(() -> serve(s));
+                }
+            } catch (IOException e) {
+                // closed: the test is over
+            }
+        }
+
+        private void serve(Socket s) {
+            CompletableFuture<Void> ended = new CompletableFuture<>();
+            try {
+                InputStream in = new BufferedInputStream(s.getInputStream());
+                while (true) {
+                    Seen one = new Seen(read(in), s, ended);
+                    seen.add(one);
+                    script.accept(one);
+                }
+            } catch (IOException e) {
+                ended.complete(null);
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+            for (Socket s : connections) {
+                s.close();
+            }
+        }
+    }
+
+    /** A message that a server got; {@code ended} is done when its connection is. */
+    record Seen(Message message, Socket socket, CompletableFuture<Void> ended) {
+        void write(String text) {
+            try {
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            } catch (IOException e) {
+                // the peer has closed
+            }
+        }
+
+        void answer(int status, String headers, String body) {
+            write("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        void served(String body) {
+            answer(200, "", body);
+        }
+
+        void notRun() {
+            answer(503, "X-Not-Run: 1\r\n", "");
+        }
+
+        void reset() {
+            try {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        }
+
+        void awaitEnd() throws Exception {
+            ended.get(PATIENCE_S, TimeUnit.SECONDS);
+        }
+    }
+
+    /** The application's end of one connection. */
+    static final class Client implements AutoCloseable {
+        final Socket socket;
+        private final InputStream in;
+
+        Client(int port) throws IOException {
+            socket = new Socket(InetAddress.getLoopbackAddress(), port);
+            socket.setSoTimeout((int) PATIENCE_S * 1000);
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        Client write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return this;
+        }
+
+        Client unsafe(String id, long deadlineMs) throws IOException {
+            return write("POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + id + "\r\nX-Class: unsafe\r\n"
+                    + "X-Deadline-Ms: " + deadlineMs + "\r\nContent-Length: 4\r\n\r\nbody");
+        }
+
+        Client safe(String id, long deadlineMs) throws IOException {
+            return write("GET /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + id + "\r\nX-Class: safe\r\n"
+                    + "X-Deadline-Ms: " + deadlineMs + "\r\n\r\n");
+        }
+
+        Message read() throws IOException {
+            return Peers.read(in);
+        }
+
+        /** Whether the proxy has closed, with nothing more sent. */
+        boolean closed() throws IOException {
+            try {
+                return in.read() < 0;
+            } catch (SocketException e) {
+                return true;
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    /** Discovery: a server that leaves every watch open for {@link #push}. */
+    static final class Discovery implements AutoCloseable {
+        final Server server = new Server(seen -> seen.write(
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+
+        Discovery() throws IOException {}
+
+        Seen asked() throws InterruptedException {
+            return next(server.seen, "a watch");
+        }
+
+        static void push(Seen watch, String line) {
+            watch.write(Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n");
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    static String host(String id, String address, String state) {
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"east\",\"kind\":\"m\",\"cell\":1,"
+                + "\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0}";
+    }
+
+    static String list(int version, boolean full, String... hosts) {
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", hosts) + "]}";
+    }
+
+    /** A configuration; {@code limits} are further ones, each with a comma before it. */
+    static String config(int port, String discovery, String limits, String known) {
+        String one = "{\"name\":\"%s\",\"effect\":\"%s\",\"dedupScope\":\"zone\",\"dedupWindowUs\":20000000,"
+                + "\"onTimeUs\":20000000,\"deadlineUs\":20000000,\"worth\":1}";
+        return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
+                + "\",\"seed\":\"8c1f30d27a5be964\",\"known\":" + known + ",\"peers\":[],\"settings\":{"
+                + "\"azs\":[\"west\",\"east\"],\"kinds\":[\"m\"],\"balancers\":3,\"membershipMode\":\"subscribe\","
+                + "\"customers\":[{\"name\":\"acme\",\"share\":1}],\"classes\":["
+                + String.format(one, "safe", "retryable") + "," + String.format(one, "keyed", "dedup") + ","
+                + String.format(one, "unsafe", "fragile") + "],\"limits\":{\"maxAttempts\":4,\"mayCancel\":true,"
+                + "\"mayProbe\":true,\"retryAfter\":true,\"maxRetryAfterUs\":2000000,\"dialTimeoutUs\":20000000"
+                + limits + "},\"contract\":{\"askWithinUs\":10000000}}}";
+    }
+}
