SIGTERM and configuration tests on the whole program; descriptors bounded; cancel by the right number

Now the number that is out is kept. Test added. - ClientProxy.run: an Error out of the module left 'working' set and the proxy deaf for good; now reset. - Frontend took any number of clients; 1,024 descriptors could run out and make every connect to a host fail. Now 320 clients at most, the rest wait to be accepted: 320 + 320 + 256 idle. Test added. - Config: a bad seed or a port in use was said in a library's words. Ruled out: warming up before ready.

--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -1,5 +1,6 @@
 package mulleinfront.proxy;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -90,6 +92,7 @@
         private final long endAt;
         private ScheduledFuture<?> guard;
         private Upstream.Attempt out;
+        private int outNumber;
         private int attempts;
         private boolean mayHaveRun;
         private boolean answered;
@@ -113,7 +116,10 @@
         try {
             ClientProxy proxy = new ClientProxy(config, maker, group);
             proxy.loop.submit(proxy::begin).get();
-            proxy.frontend.listen(config.listen()).sync();
+            ChannelFuture bound = proxy.frontend.listen(config.listen()).await();
+            if (!bound.isSuccess()) {
+                throw new IOException("can't listen on " + config.listen() + ": " + bound.cause().getMessage());
+            }
             return proxy;
         } catch (Exception e) {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
@@ -122,13 +128,14 @@
     }
 
     private void begin() {
-        run(() -> balancer = maker.create(config.settings(), config.seed(), now(), this));
+        balancer = maker.create(config.settings(), config.seed(), now(), this);
         if (config.known() != null) {
             discovery.take(config.known(), Source.CACHED);
         }
         if (!config.settings().subscribe()) {
             discovery.watch();
         }
+        perform();
     }
 
     /** Serves to the end what clients have sent or are about to; the future is done when all has ended. */
@@ -160,18 +167,29 @@
      */
     private void run(Runnable task) {
         work.add(task);
+        perform();
+    }
+
+    private void perform() {
         if (working) {
             return;
         }
         working = true;
-        for (Runnable next; (next = work.poll()) != null;) {
-            try {
-                next.run();
-            } catch (RuntimeException e) {
-                System.err.println("mulleinfront: " + e + " at " + e.getStackTrace()[0]);
+        try {
+            for (Runnable next; (next = work.poll()) != null;) {
+                perform(next);
             }
+        } finally {
+            working = false;
+        }
+    }
+
+    private static void perform(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            System.err.println("mulleinfront: " + e + " at " + e.getStackTrace()[0]);
         }
-        working = false;
     }
 
     // ---- clients -------------------------------------------------------------------------------------
@@ -275,10 +293,9 @@
             ended(x, number, sentAt, Outcome.IGNORED);
             return;
         }
-        boolean[] over = {false};
-        Upstream.Attempt started = upstream.send(host, x.call, timeoutUs == 0 ? left : Math.min(left, timeoutUs),
+        x.outNumber = number;
+        x.out = upstream.attempt(host, x.call, timeoutUs == 0 ? left : Math.min(left, timeoutUs),
                 () -> !x.answered, (outcome, answer) -> {
-                    over[0] = true;
                     x.out = null;
                     x.mayHaveRun |= !outcome.neverRan();
                     if (outcome == Outcome.OK && !x.answered) {
@@ -288,7 +305,7 @@
                     }
                     ended(x, number, sentAt, outcome);
                 });
-        x.out = over[0] ? null : started;
+        x.out.start();
     }
 
     private void ended(Exchange x, int number, long sentAt, Outcome outcome) {
@@ -301,7 +318,7 @@
     public void cancel(String requestId, int number) {
         work.add(() -> {
             Exchange x = open.get(requestId);
-            if (x != null && x.out != null && number == x.attempts - 1) {
+            if (x != null && x.out != null && number == x.outNumber) {
                 x.out.cancel();
             }
         });
@@ -336,7 +353,7 @@
             if (host == null) {
                 end.ended(Outcome.IGNORED, null);
             } else {
-                upstream.send(host, Call.health(), config.dialTimeoutUs(), () -> true, end);
+                upstream.attempt(host, Call.health(), config.dialTimeoutUs(), () -> true, end).start();
             }
         });
     }
--- a/src/main/java/mulleinfront/proxy/Config.java
+++ b/src/main/java/mulleinfront/proxy/Config.java
@@ -70,11 +70,19 @@
         need(discovery, "discovery");
         need(settings, "settings");
         need(seed, "seed");
-        return new Config(listen, discovery, Long.parseUnsignedLong(seed, 16), settings.toSettings(),
+        return new Config(listen, discovery, seed(seed), settings.toSettings(),
                 settings.names("azs"), settings.names("kinds"), settings.tenants(), settings.dialTimeoutUs(),
                 known);
     }
 
+    private static long seed(String hex) throws IOException {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new IOException("configuration: seed must be a number of up to 16 hex digits", e);
+        }
+    }
+
     private static void need(Object value, String name) throws IOException {
         if (value == null) {
             throw new IOException("configuration: " + name + " is missing");
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -38,6 +38,11 @@
     static final int MOST_BODY = 64 * 1024;
     /** Requests that a client may send ahead of its answers; the protocol asks for none. */
     private static final int MOST_AHEAD = 16;
+    /**
+     * Most connections of clients; further ones wait to be accepted. With an attempt for each and the most
+     * idle connections to hosts, the process stays within 1,024 descriptors.
+     */
+    private static final int MOST_CLIENTS = 320;
     /** How long requests go on coming after SIGTERM: 0.4 s at most by the protocol, and some slack. */
     private static final long DRAIN_MS = 600;
 
@@ -61,7 +66,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        clients.add(ch);
+                        admit(ch);
                         ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
                                 new Client(ch));
                     }
@@ -70,6 +75,12 @@
         return bound;
     }
 
+    private void admit(SocketChannel client) {
+        clients.add(client);
+        server.config().setAutoRead(clients.size() < MOST_CLIENTS);
+        client.closeFuture().addListener(f -> server.config().setAutoRead(true));
+    }
+
     int port() {
         return ((InetSocketAddress) server.localAddress()).getPort();
     }
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -71,14 +71,12 @@
     }
 
     /**
-     * Starts an attempt; its end may be told before this returns.
+     * An attempt, to be started at once.
      *
      * @param wanted whether the request still waits for an answer
      */
-    Attempt send(Host host, Call call, long timeoutUs, BooleanSupplier wanted, End end) {
-        Attempt attempt = new Attempt(host, call, timeoutUs, wanted, end);
-        attempt.start();
-        return attempt;
+    Attempt attempt(Host host, Call call, long timeoutUs, BooleanSupplier wanted, End end) {
+        return new Attempt(host, call, timeoutUs, wanted, end);
     }
 
     /** Closes the idle connections to a host; those in use close after their answer. */
@@ -109,7 +107,8 @@
             this.timer = loop.schedule(() -> abandon(Outcome.TIMED_OUT), timeoutUs, TimeUnit.MICROSECONDS);
         }
 
-        private void start() {
+        /** The end may be told before this returns. */
+        void start() {
             Connection reused = host.idle.peek();
             if (reused != null) {
                 reused.leaveIdle();
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -4,12 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -44,9 +47,9 @@
         final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
         final BlockingQueue<String> gone = new LinkedBlockingQueue<>();
         final BlockingQueue<Outcome> probes = new LinkedBlockingQueue<>();
-        Consumer<Request> onRequest = r -> { };
-        Consumer<AttemptEnd> onEnd = e -> { };
-        Actions actions;
+        volatile Consumer<Request> onRequest = r -> { };
+        volatile Consumer<AttemptEnd> onEnd = e -> { };
+        volatile Actions actions;
 
         @Override
         public void onEndpoints(long now, Source source, List<Endpoint> endpoints) {
@@ -352,6 +355,51 @@
         assertEquals(0, other.seen.size());
     }
 
+    @Test
+    void aCancelledAttemptIsClosedAndOnlyThatOne() throws Exception {
+        // Guards the numbering: a second copy that was not sent has a number, and is not the one that is out.
+        Server host = host(s -> { });
+        start("", Peers.host("s", host.address(), "in_service"));
+        module.onRequest = r -> {
+            module.actions.send(r.id(), "s", 0);
+            module.actions.send(r.id(), "s", 0);
+        };
+        module.onEnd = e -> {
+            if (e.attempt() == 1) {
+                module.actions.cancel(e.requestId(), 1);
+                module.actions.cancel(e.requestId(), 0);
+            } else {
+                module.actions.fail(e.requestId());
+            }
+        };
+        assertEquals(502, client().unsafe("id1", 20_000).read().status());
+        assertEquals(Outcome.IGNORED, Peers.next(module.ends, "the second copy's end").outcome());
+        AttemptEnd end = Peers.next(module.ends, "the first's end");
+        assertEquals(0, end.attempt());
+        assertEquals(Outcome.CANCELED, end.outcome());
+        assertFalse(end.requestDone());
+        assertTrue(module.ends.isEmpty());
+    }
+
+    @Test
+    void manyIdleClientsLeaveRoomForTheRest() throws Exception {
+        // Guards the limit on descriptors: beyond the most, connections wait, and are served when some go.
+        start("");
+        module.onRequest = r -> module.actions.fail(r.id());
+        List<Client> idle = new ArrayList<>();
+        for (int i = 0; i < 340; i++) {
+            idle.add(client());
+        }
+        Client last = client().unsafe("id1", 20_000);
+        last.socket.setSoTimeout(300);
+        assertThrows(SocketTimeoutException.class, last::read, "beyond the most, one waits");
+        last.socket.setSoTimeout((int) Peers.PATIENCE_S * 1000);
+        for (Client c : idle) {
+            c.close();
+        }
+        assertEquals(502, last.read().status());
+    }
+
     @Test
     void aClientThatLeavesTakesItsAttemptAlong() throws Exception {
         Server host = host(s -> { });
@@ -492,13 +540,14 @@
     private static final class Deaf implements AutoCloseable {
         private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         private final List<Socket> fill = new ArrayList<>();
+        private Socket last;
 
         Deaf() throws Exception {
             for (int i = 0; i < 8; i++) {
                 Socket s = new Socket();
                 try {
-                    s.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), 200);
-                } catch (java.net.SocketTimeoutException full) {
+                    s.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), 1000);
+                } catch (SocketTimeoutException full) {
                     s.close();
                     return;
                 }
@@ -511,8 +560,6 @@
             return "127.0.0.1:" + server.getLocalPort();
         }
 
-        private Socket last;
-
         /** Takes the connections that fill the queue, and then the one that waited. */
         void hear() throws Exception {
             server.setSoTimeout((int) Peers.PATIENCE_S * 1000);
@@ -527,7 +574,7 @@
         }
 
         @Override
-        public void close() throws Exception {
+        public void close() throws IOException {
             server.close();
             for (Socket s : fill) {
                 s.close();
--- /dev/null
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -0,0 +1,202 @@
+package mulleinfront.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import mulleinfront.proxy.Peers.Client;
+import mulleinfront.proxy.Peers.Discovery;
+import mulleinfront.proxy.Peers.Message;
+import mulleinfront.proxy.Peers.Seen;
+import mulleinfront.proxy.Peers.Server;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The whole program, started as it is deployed, with the real module. */
+class ServeTest {
+    @TempDir
+    Path folder;
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Process process;
+
+    private int start(Server... hosts) throws Exception {
+        Discovery discovery = keep(new Discovery());
+        List<String> known = new ArrayList<>();
+        for (Server host : hosts) {
+            known.add(Peers.host("s" + known.size(), host.address(), "in_service"));
+        }
+        int port = freePort();
+        launch(Peers.config(port, discovery.server.address(), "",
+                Peers.list(1, true, known.toArray(String[]::new))), ProcessBuilder.Redirect.INHERIT);
+        Discovery.push(discovery.asked(), Peers.list(2, true, known.toArray(String[]::new)));
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Peers.PATIENCE_S);
+        while (System.nanoTime() < end) {
+            try (Client client = new Client(port)) {
+                if (client.write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status() == 200) {
+                    return port;
+                }
+            } catch (IOException e) {
+                // not listening yet
+            }
+            Thread.sleep(20);
+        }
+        throw new AssertionError("never ready");
+    }
+
+    /** A port under those that the system gives to outgoing connections, which could take it again. */
+    private static int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(20_000, 30_000);
+            try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return s.getLocalPort();
+            } catch (IOException e) {
+                // taken: try another
+            }
+        }
+    }
+
+    private void launch(String config, ProcessBuilder.Redirect errors) throws IOException {
+        Path file = folder.resolve("config.json");
+        Files.writeString(file, config);
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+                "-cp", System.getProperty("java.class.path"), "mulleinfront.Main", "serve").redirectError(errors);
+        builder.environment().put("NODE_CONFIG", file.toString());
+        process = builder.start();
+    }
+
+    private Server host(Consumer<Seen> script) throws Exception {
+        return keep(new Server(script));
+    }
+
+    private <T extends AutoCloseable> T keep(T one) {
+        open.add(one);
+        return one;
+    }
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable one : open) {
+            one.close();
+        }
+        if (process != null) {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
+    @Test
+    void anUnsafeRequestIsTriedAgainOnlyWhenItSurelyDidNotRun() throws Exception {
+        AtomicInteger attempts = new AtomicInteger();
+        Consumer<Seen> script = s -> {
+            boolean first = attempts.getAndIncrement() == 0;
+            switch (s.message().header("x-request-id")) {
+                case "not-run" -> {
+                    if (first) {
+                        s.notRun();
+                    } else {
+                        s.served("x");
+                    }
+                }
+                case "error" -> s.answer(500, "", "");
+                default -> s.reset();
+            }
+        };
+        int port = start(host(script), host(script), host(script));
+        try (Client client = new Client(port)) {
+            assertEquals(200, client.unsafe("not-run", 20_000).read().status());
+            assertEquals(2, attempts.getAndSet(0), "tried again after it was turned away");
+            assertEquals(502, client.unsafe("error", 20_000).read().status());
+            assertEquals(1, attempts.getAndSet(0), "an error may have run");
+            assertEquals(502, client.unsafe("reset", 20_000).read().status());
+            assertEquals(1, attempts.getAndSet(0), "a reset may have run");
+            // Safe to repeat: it goes on to another host, and a refusal is a true word whatever came of it.
+            int status = client.safe("reset", 20_000).read().status();
+            assertEquals(503, status);
+            assertTrue(attempts.get() > 1, "tried again: " + attempts);
+        }
+    }
+
+    @Test
+    void afterSigtermAllThatComesIsServedAndThenItEnds() throws Exception {
+        Server host = host(s -> {
+            if (!s.message().header("x-request-id").equals("out")) {
+                s.served("x");
+            }
+        });
+        int port = start(host);
+        try (Client kept = new Client(port); Client out = new Client(port); Client idle = new Client(port)) {
+            assertEquals(200, kept.unsafe("before", 20_000).read().status());
+            Peers.next(host.seen, "the first request");
+            out.unsafe("out", 20_000);
+            Seen waiting = Peers.next(host.seen, "the request that is out");
+            long told = System.nanoTime();
+            process.destroy();
+            try {
+                Message last = null;
+                // The signal takes a moment: until then answers keep the connection.
+                for (int i = 0; last == null || last.header("connection") == null; i++) {
+                    last = kept.unsafe("after" + i, 20_000).read();
+                    assertEquals(200, last.status());
+                }
+                assertEquals("close", last.header("connection"));
+                assertTrue(kept.closed());
+                try (Client fresh = new Client(port)) {
+                    assertEquals(200, fresh.unsafe("fresh", 20_000).read().status(), "new connections are served");
+                }
+            } catch (IOException e) {
+                // Only this machine's being slow excuses it: the time in which requests still come was over.
+                assertTrue(System.nanoTime() - told > TimeUnit.MILLISECONDS.toNanos(500), e.toString());
+            }
+            assertTrue(idle.closed(), "idle connections close in the end");
+            assertTrue(process.isAlive(), "one request is out");
+            waiting.served("late");
+            assertEquals("late", out.read().text());
+            assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void aBadConfigurationIsOnePlainLine() throws Exception {
+        for (String config : List.of("{", "7", "{\"listen\":\"here\"}", "{}", "{\"settings\":5}",
+                Peers.config(1, "127.0.0.1:1", "", "null").replace("8c1f30d27a5be964", "x"),
+                Peers.config(1, "127.0.0.1:1", "", "null").replace("\"maxAttempts\":4", "\"maxAttempts\":0"))) {
+            assertThrows(Exception.class, () -> Config.parse(config.getBytes(StandardCharsets.UTF_8)), config);
+        }
+        File errors = folder.resolve("errors").toFile();
+        launch(Peers.config(1, "127.0.0.1:1", "", "null").replace("\"effect\":\"retryable\"", "\"effect\":\"odd\""),
+                ProcessBuilder.Redirect.to(errors));
+        assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(1, process.exitValue());
+        assertEquals("mulleinfront: settings: safe: unknown effect odd\n", Files.readString(errors.toPath()));
+    }
+
+    @Test
+    void aPortInUseIsOnePlainLine() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            File errors = folder.resolve("errors").toFile();
+            launch(Peers.config(taken.getLocalPort(), "127.0.0.1:1", "", "null"),
+                    ProcessBuilder.Redirect.to(errors));
+            assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS));
+            assertFalse(process.exitValue() == 0);
+            List<String> lines = Files.readAllLines(errors.toPath());
+            assertEquals(1, lines.size(), lines.toString());
+            assertTrue(lines.get(0).startsWith("mulleinfront: can't listen on "), lines.get(0));
+        }
+    }
+}
