Half an answer is never served; watch silence fits the 6 s rule; buffers on the bounded heap

Found by reading and shown by a test that fails without the mend (expected RESET but was OK): - Upstream.exceptionCaught closed the connection first; a 200 without a length that was reset looked like one that had ended in good order, and half a body was served. The attempt now ends before the close. Found by reading: - Discovery.SILENCE_MS was 6.5 s, but what discovery has to tell counts as told after 6 s: a silent watch could break a drain. Now 4.5 s (two missed heartbeats and a half second) and 1 s to connect. - Direct buffers: 320 bodies of 64 KiB would not fit in 16 MB of direct memory, and requests would be lost.

--- a/src/main/java/mulleinfront/proxy/Call.java
+++ b/src/main/java/mulleinfront/proxy/Call.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 
@@ -56,7 +57,7 @@
     }
 
     private static byte[] concat(byte[] a, byte[] b) {
-        byte[] all = java.util.Arrays.copyOf(a, a.length + b.length);
+        byte[] all = Arrays.copyOf(a, a.length + b.length);
         System.arraycopy(b, 0, all, a.length, b.length);
         return all;
     }
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -37,6 +37,7 @@
     /** What the module is told ends this much earlier still, so that its own last word comes first. */
     private static final long LAST_WORD_US = 10_000;
     private static final long MOST_DEADLINE_MS = 3_600_000;
+    static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null);
     /** The agent that pushes lists answers at once and at no cost, unlike discovery that is asked. */
     private static final long AGENT_AGAIN_MS = 500;
 
@@ -118,8 +119,10 @@
             proxy.loop.submit(proxy::begin).get();
             ChannelFuture bound = proxy.frontend.listen(config.listen()).await();
             if (!bound.isSuccess()) {
-                throw new IOException("can't listen on " + config.listen() + ": " + bound.cause().getMessage());
+                throw new IOException("can't listen on " + config.listen() + ": "
+                        + bound.cause().getMessage());
             }
+            System.err.println("mulleinfront: listening on " + config.listen());
             return proxy;
         } catch (Exception e) {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
@@ -140,6 +143,7 @@
 
     /** Serves to the end what clients have sent or are about to; the future is done when all has ended. */
     public Future<?> drain() {
+        System.err.println("mulleinfront: told to end; finishing what is open");
         loop.execute(() -> frontend.drain(() -> {
             discovery.stop();
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -203,7 +207,8 @@
         String tenantName = h.get("X-Tenant");
         int tenant = config.tenants().indexOf(tenantName);
         boolean known = tenantName == null || config.tenants().isEmpty() || tenant >= 0;
-        if (id == null || id.isEmpty() || open.containsKey(id) || classIndex == null || deadlineMs < 1 || !known) {
+        boolean fresh = id != null && !id.isEmpty() && !open.containsKey(id);
+        if (!fresh || classIndex == null || deadlineMs < 1 || !known) {
             return null;
         }
         RequestClass type = config.settings().classes().get(classIndex);
@@ -249,7 +254,8 @@
             boolean harmless = x.type.effect() == Effect.RETRYABLE || !x.mayHaveRun && x.out == null
                     || x.type.effect() == Effect.DEDUP && x.type.scope() == DedupScope.ALL;
             x.client.answer(harmless ? HttpResponseStatus.SERVICE_UNAVAILABLE
-                    : HttpResponseStatus.GATEWAY_TIMEOUT);
+                    : HttpResponseStatus.GATEWAY_TIMEOUT, NO_BODY,
+                    harmless ? config.settings().limits().maxRetryAfterUs() : 0);
             tellGone(x);
         }
     }
@@ -338,7 +344,7 @@
         Exchange x = open.get(requestId);
         if (x != null && !x.answered) {
             over(x);
-            x.client.answer(status, new Upstream.Answer(new byte[0], null), retryAfterUs);
+            x.client.answer(status, NO_BODY, retryAfterUs);
             forget(x);
         }
     }
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -38,8 +37,12 @@
  * failed, once; when to ask again is the module's to say, since discovery has little capacity.
  */
 final class Discovery {
-    /** A heartbeat comes every 2 s: three missed ones and a little more are silence. */
-    private static final long SILENCE_MS = 6_500;
+    /**
+     * A heartbeat comes every 2 s: two missed ones and a little more are silence. What discovery has to tell
+     * counts as told after 6 s even if it never came, so by then the next call must have been answered.
+     */
+    private static final long SILENCE_MS = 4_500;
+    private static final int CONNECT_MS = 1_000;
     private static final int LONGEST_LINE = 4 * 1024 * 1024;
 
     /** Told of lists and of watches that failed. */
@@ -67,8 +70,8 @@
         config.zones().forEach(name -> zones.put(name, zones.size()));
         config.kinds().forEach(name -> kinds.put(name, kinds.size()));
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) SILENCE_MS);
+                .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
     }
 
     /** The host of this id, or null if it is not listed. */
@@ -87,7 +90,7 @@
         watch = asked;
         bootstrap.clone().handler(asked.pipeline()).connect(address).addListener(f -> {
             if (!f.isSuccess()) {
-                asked.fail();
+                asked.fail(f.cause());
             }
         });
     }
@@ -140,6 +143,7 @@
     /** One call. It fails once, however it ends, unless it was given up for another. */
     private final class Watch extends SimpleChannelInboundHandler<ByteBuf> {
         private Channel channel;
+        private boolean heard;
 
         ChannelInitializer<SocketChannel> pipeline() {
             return new ChannelInitializer<>() {
@@ -164,24 +168,30 @@
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) throws IOException {
             if (watch == this && line.isReadable()) {
                 Listing listing = Listing.parse(ByteBufUtil.getBytes(line));
+                heard = true;
                 take(listing, listing.full() ? Source.FULL : Source.DELTA);
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            fail();
+            fail(new IOException("it ended"));
         }
 
         /** A bad line, a refusal, silence or a break: the call has failed, and nothing else has. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            fail(cause);
             ctx.close();
         }
 
-        void fail() {
+        /** Says so once for each watch that had worked: calls go on failing while discovery is down. */
+        void fail(Throwable cause) {
             if (watch == this) {
                 watch = null;
+                if (heard) {
+                    System.err.println("mulleinfront: the watch of " + address + " failed: " + cause);
+                }
                 listener.failed();
             }
         }
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
-import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -35,7 +34,6 @@
  * and writes final answers, one at a time on each connection.
  */
 final class Frontend {
-    static final int MOST_BODY = 64 * 1024;
     /** Requests that a client may send ahead of its answers; the protocol asks for none. */
     private static final int MOST_AHEAD = 16;
     /**
@@ -60,15 +58,15 @@
 
     ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
-                .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
+                .childOption(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         admit(ch);
-                        ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
-                                new Client(ch));
+                        ch.pipeline().addLast(new HttpServerCodec(),
+                                new HttpObjectAggregator(Upstream.MOST_BODY), new Client(ch));
                     }
                 }).bind(address);
         server = bound.channel();
@@ -146,7 +144,7 @@
         }
 
         void answer(HttpResponseStatus status) {
-            answer(status, new Upstream.Answer(new byte[0], null), 0);
+            answer(status, ClientProxy.NO_BODY, 0);
         }
 
         /** The final answer of the request at hand, then on to the next if the client sent ahead. */
@@ -197,7 +195,7 @@
             }
         }
 
-        /** Whatever went wrong here costs this connection, and what was open on it is the client's to retry. */
+        /** Whatever went wrong costs this connection; what was open on it is the client's to retry. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
--- a/src/main/java/mulleinfront/proxy/Listing.java
+++ b/src/main/java/mulleinfront/proxy/Listing.java
@@ -104,7 +104,8 @@
         byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
         need(ip != null, "not an address and port: " + text);
         try {
-            return new InetSocketAddress(InetAddress.getByAddress(ip), Integer.parseInt(text.substring(colon + 1)));
+            int port = Integer.parseInt(text.substring(colon + 1));
+            return new InetSocketAddress(InetAddress.getByAddress(ip), port);
         } catch (IllegalArgumentException e) {
             throw new IOException("not an address and port: " + text, e);
         }
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -36,6 +36,9 @@
     /** Most idle connections, so that a burst's leftovers don't eat the process's descriptors. */
     private static final int MOST_IDLE = 256;
 
+    /** Buffers count as heap, which is bounded once and for all, and need no pool at this traffic. */
+    static final UnpooledByteBufAllocator BUFFERS = new UnpooledByteBufAllocator(false);
+
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final long idleUs;
@@ -45,7 +48,7 @@
         this.loop = loop;
         this.idleUs = (long) (connIdleUs * IDLE_PART);
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+                .option(ChannelOption.ALLOCATOR, BUFFERS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1000));
     }
@@ -285,10 +288,16 @@
             }
         }
 
-        /** Garbage, an oversized answer or a reset: it costs this connection and its attempt, no more. */
+        /**
+         * Garbage, an oversized answer or a reset: it costs this connection and its attempt, no more. The
+         * attempt ends before the close: an answer without a length would seem to end there in good order.
+         */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+            if (current != null && outcome == null) {
+                current.broken();
+            }
+            close();
         }
     }
 }
--- a/src/test/java/mulleinfront/proxy/Peers.java
+++ b/src/test/java/mulleinfront/proxy/Peers.java
@@ -62,7 +62,8 @@
         }
         List<String> lines = List.of(head.toString(StandardCharsets.ISO_8859_1).strip().split("\r\n"));
         Message bare = new Message(lines.get(0), lines.subList(1, lines.size()), new byte[0]);
-        int length = bare.header("content-length") == null ? 0 : Integer.parseInt(bare.header("content-length"));
+        String stated = bare.header("content-length");
+        int length = stated == null ? 0 : Integer.parseInt(stated);
         byte[] body = in.readNBytes(length);
         if (body.length < length) {
             throw new EOFException("ended in the body");
@@ -139,7 +140,8 @@
         }
 
         void answer(int status, String headers, String body) {
-            write("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+            write("HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
+                    + body);
         }
 
         void served(String body) {
@@ -150,6 +152,14 @@
             answer(503, "X-Not-Run: 1\r\n", "");
         }
 
+        void finish() {
+            try {
+                socket.shutdownOutput();
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        }
+
         void reset() {
             try {
                 socket.setSoLinger(true, 0);
@@ -181,13 +191,14 @@
         }
 
         Client unsafe(String id, long deadlineMs) throws IOException {
-            return write("POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + id + "\r\nX-Class: unsafe\r\n"
-                    + "X-Deadline-Ms: " + deadlineMs + "\r\nContent-Length: 4\r\n\r\nbody");
+            return write("POST /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + id
+                    + "\r\nX-Class: unsafe\r\nX-Deadline-Ms: " + deadlineMs
+                    + "\r\nContent-Length: 4\r\n\r\nbody");
         }
 
         Client safe(String id, long deadlineMs) throws IOException {
-            return write("GET /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + id + "\r\nX-Class: safe\r\n"
-                    + "X-Deadline-Ms: " + deadlineMs + "\r\n\r\n");
+            return write("GET /api HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: " + id
+                    + "\r\nX-Class: safe\r\nX-Deadline-Ms: " + deadlineMs + "\r\n\r\n");
         }
 
         Message read() throws IOException {
@@ -231,12 +242,13 @@
     }
 
     static String host(String id, String address, String state) {
-        return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"east\",\"kind\":\"m\",\"cell\":1,"
-                + "\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0}";
+        return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"east\","
+                + "\"kind\":\"m\",\"cell\":1,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0}";
     }
 
     static String list(int version, boolean full, String... hosts) {
-        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":[" + String.join(",", hosts) + "]}";
+        return "{\"version\":" + version + ",\"full\":" + full + ",\"servers\":["
+                + String.join(",", hosts) + "]}";
     }
 
     /** A configuration; {@code limits} are further ones, each with a comma before it. */
@@ -245,11 +257,13 @@
                 + "\"onTimeUs\":20000000,\"deadlineUs\":20000000,\"worth\":1}";
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"" + discovery
                 + "\",\"seed\":\"8c1f30d27a5be964\",\"known\":" + known + ",\"peers\":[],\"settings\":{"
-                + "\"azs\":[\"west\",\"east\"],\"kinds\":[\"m\"],\"balancers\":3,\"membershipMode\":\"subscribe\","
+                + "\"azs\":[\"west\",\"east\"],\"kinds\":[\"m\"],\"balancers\":3,"
+                + "\"membershipMode\":\"subscribe\","
                 + "\"customers\":[{\"name\":\"acme\",\"share\":1}],\"classes\":["
                 + String.format(one, "safe", "retryable") + "," + String.format(one, "keyed", "dedup") + ","
-                + String.format(one, "unsafe", "fragile") + "],\"limits\":{\"maxAttempts\":4,\"mayCancel\":true,"
-                + "\"mayProbe\":true,\"retryAfter\":true,\"maxRetryAfterUs\":2000000,\"dialTimeoutUs\":20000000"
+                + String.format(one, "unsafe", "fragile") + "],\"limits\":{"
+                + "\"maxAttempts\":4,\"mayCancel\":true,\"mayProbe\":true,\"retryAfter\":true,"
+                + "\"maxRetryAfterUs\":2000000,\"dialTimeoutUs\":20000000"
                 + limits + "},\"contract\":{\"askWithinUs\":10000000}}}";
     }
 }
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -186,6 +186,35 @@
         }, 0).outcome());
     }
 
+    @Test
+    void anAnswerWithoutALengthThatIsResetIsNotServed() throws Exception {
+        // Guards against serving half an answer: with no length only a clean close is an end.
+        assertEquals(Outcome.RESET, outcome(s -> {
+            s.write("HTTP/1.1 200 OK\r\n\r\nhalf");
+            s.reset();
+        }, 0).outcome());
+    }
+
+    @Test
+    void anAnswerWithoutALengthEndsWithItsConnection() throws Exception {
+        assertEquals(Outcome.OK, outcome(s -> {
+            s.write("HTTP/1.1 200 OK\r\n\r\nwhole");
+            s.finish();
+        }, 0).outcome());
+    }
+
+    @Test
+    void theLargestBodiesPass() throws Exception {
+        String most = "x".repeat(64 * 1024);
+        Server host = host(s -> s.served(s.message().text()));
+        start("", Peers.host("s", host.address(), "in_service"));
+        module.onRequest = r -> module.actions.send(r.id(), "s", 0);
+        Message answer = client().write("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
+                + "X-Class: unsafe\r\nX-Deadline-Ms: 20000\r\nContent-Length: 65536\r\n\r\n" + most).read();
+        assertEquals(200, answer.status());
+        assertEquals(most, answer.text());
+    }
+
     @Test
     void garbageEndsTheAttemptOnly() throws Exception {
         assertEquals(Outcome.RESET, outcome(s -> s.write("\0\1garbage\r\n\r\n"), 0).outcome());
@@ -257,10 +286,11 @@
         Server host = host(s -> s.answer(200, "Content-Type: a/b\r\n", s.message().text() + "!"));
         start("", Peers.host("s", host.address(), "in_service"));
         module.onRequest = r -> module.actions.send(r.id(), "s", 0);
-        Message answer = client().write("POST /api/x?q=%20a&b HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: id1\r\n"
-                + "X-Class: keyed\r\nX-Tenant: acme\r\nX-Key: k\r\nX-Deadline-Ms: 20000\r\nIdempotency-Key: i-k\r\n"
-                + "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nContent-Length: " + body.length() + "\r\n\r\n"
-                + body).read();
+        Message answer = client().write("POST /api/x?q=%20a&b HTTP/1.1\r\nHost: origin.svc\r\n"
+                + "X-Request-Id: id1\r\nX-Class: keyed\r\nX-Tenant: acme\r\nX-Key: k\r\n"
+                + "X-Deadline-Ms: 20000\r\n"
+                + "Idempotency-Key: i-k\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body).read();
         Message seen = Peers.next(host.seen, "the request").message();
         assertEquals("POST /api/x?q=%20a&b HTTP/1.1", seen.first());
         assertEquals("id1", seen.header("x-request-id"));
@@ -327,7 +357,8 @@
         // Guards "at most one attempt at a time": the host told of the second must have lost the first.
         Server silent = host(s -> { });
         Server other = host(s -> s.served("x"));
-        start("", Peers.host("s", silent.address(), "in_service"), Peers.host("t", other.address(), "in_service"));
+        start("", Peers.host("s", silent.address(), "in_service"),
+                Peers.host("t", other.address(), "in_service"));
         module.onRequest = r -> module.actions.send(r.id(), "s", 50_000);
         module.onEnd = e -> {
             if (e.attempt() == 0) {
@@ -343,7 +374,8 @@
     void aSecondCopyIsNotSent() throws Exception {
         Server silent = host(s -> { });
         Server other = host(s -> s.served("x"));
-        start("", Peers.host("s", silent.address(), "in_service"), Peers.host("t", other.address(), "in_service"));
+        start("", Peers.host("s", silent.address(), "in_service"),
+                Peers.host("t", other.address(), "in_service"));
         module.onRequest = r -> {
             module.actions.send(r.id(), "s", 0);
             module.actions.send(r.id(), "t", 0);
@@ -462,16 +494,15 @@
         assertEquals(400, client().write("nonsense\r\n\r\n").read().status());
         assertEquals(404, client().write("GET /other HTTP/1.1\r\nHost: h\r\n\r\n").read().status());
         assertEquals(400, client().write("POST /api HTTP/1.1\r\nHost: h\r\n\r\n").read().status(), "no id");
-        assertEquals(400, client().write("POST /api HTTP/1.1\r\n" + head + "\r\n").read().status(), "no deadline");
-        assertEquals(400, client().write("POST /api HTTP/1.1\r\n" + head + "X-Deadline-Ms: soon\r\n\r\n").read()
-                .status());
+        String post = "POST /api HTTP/1.1\r\n" + head;
+        assertEquals(400, client().write(post + "\r\n").read().status(), "no deadline");
+        assertEquals(400, client().write(post + "X-Deadline-Ms: soon\r\n\r\n").read().status());
         assertEquals(400, client().write("GET /api HTTP/1.1\r\n" + head + "X-Deadline-Ms: 9\r\n\r\n").read()
                 .status(), "an unsafe GET");
-        assertEquals(400, client().write("POST /api HTTP/1.1\r\n" + head + "X-Deadline-Ms: 9\r\nX-Tenant: ?\r\n\r\n")
-                .read().status());
+        assertEquals(400, client().write(post + "X-Deadline-Ms: 9\r\nX-Tenant: ?\r\n\r\n").read().status());
         assertEquals(400, client().write("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\nX-Class: ?\r\n"
                 + "X-Deadline-Ms: 9\r\n\r\n").read().status());
-        assertEquals(413, client().write("POST /api HTTP/1.1\r\n" + head + "X-Deadline-Ms: 9\r\n"
+        assertEquals(413, client().write(post + "X-Deadline-Ms: 9\r\n"
                 + "Content-Length: 65537\r\n\r\n").read().status());
         module.onRequest = r -> module.actions.fail(r.id());
         assertEquals(502, client().unsafe("id1", 20_000).read().status(), "and it serves on");
@@ -493,7 +524,8 @@
         start("", Peers.host("s", "127.0.0.1:1", "in_service"));
         assertEquals(200, client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status());
         Seen watch = discovery.asked();
-        assertTrue(watch.message().first().startsWith("GET /api/targets?watch=1&after=1 "), watch.message().first());
+        String asked = watch.message().first();
+        assertTrue(asked.startsWith("GET /api/targets?watch=1&after=1 "), asked);
         Discovery.push(watch, Peers.list(2, true, Peers.host("t", "127.0.0.1:2", "in_service")));
         assertEquals("FULL [t 1 READY]", Peers.next(module.lists, "the whole list"));
         Discovery.push(watch, "");
@@ -526,7 +558,8 @@
 
     @Test
     void probesTellOfAHost() throws Exception {
-        Server host = host(s -> s.answer(s.message().first().startsWith("GET /-/healthy ") ? 200 : 404, "", ""));
+        Server host = host(s -> s.answer(
+                s.message().first().startsWith("GET /-/healthy ") ? 200 : 404, "", ""));
         start("", Peers.host("s", host.address(), "in_service"));
         module.onRequest = r -> {
             module.actions.probe("s");
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -76,7 +76,8 @@
         Files.writeString(file, config);
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-cp", System.getProperty("java.class.path"), "mulleinfront.Main", "serve").redirectError(errors);
+                "-cp", System.getProperty("java.class.path"), "mulleinfront.Main", "serve")
+                .redirectError(errors);
         builder.environment().put("NODE_CONFIG", file.toString());
         process = builder.start();
     }
@@ -157,7 +158,7 @@
                 assertEquals("close", last.header("connection"));
                 assertTrue(kept.closed());
                 try (Client fresh = new Client(port)) {
-                    assertEquals(200, fresh.unsafe("fresh", 20_000).read().status(), "new connections are served");
+                    assertEquals(200, fresh.unsafe("fresh", 20_000).read().status(), "new ones are served");
                 }
             } catch (IOException e) {
                 // Only this machine's being slow excuses it: the time in which requests still come was over.
@@ -173,13 +174,15 @@
 
     @Test
     void aBadConfigurationIsOnePlainLine() throws Exception {
+        String good = Peers.config(1, "127.0.0.1:1", "", "null");
         for (String config : List.of("{", "7", "{\"listen\":\"here\"}", "{}", "{\"settings\":5}",
-                Peers.config(1, "127.0.0.1:1", "", "null").replace("8c1f30d27a5be964", "x"),
-                Peers.config(1, "127.0.0.1:1", "", "null").replace("\"maxAttempts\":4", "\"maxAttempts\":0"))) {
-            assertThrows(Exception.class, () -> Config.parse(config.getBytes(StandardCharsets.UTF_8)), config);
+                good.replace("8c1f30d27a5be964", "x"),
+                good.replace("\"maxAttempts\":4", "\"maxAttempts\":0"))) {
+            byte[] bytes = config.getBytes(StandardCharsets.UTF_8);
+            assertThrows(Exception.class, () -> Config.parse(bytes), config);
         }
         File errors = folder.resolve("errors").toFile();
-        launch(Peers.config(1, "127.0.0.1:1", "", "null").replace("\"effect\":\"retryable\"", "\"effect\":\"odd\""),
+        launch(good.replace("\"effect\":\"retryable\"", "\"effect\":\"odd\""),
                 ProcessBuilder.Redirect.to(errors));
         assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS));
         assertEquals(1, process.exitValue());
