--- a/src/main/java/mulleinfront/benchlink/SettingsReader.java
+++ b/src/main/java/mulleinfront/benchlink/SettingsReader.java
@@ -114,7 +114,8 @@
             case "retryable" -> Effect.RETRYABLE;
             case "dedup" -> Effect.DEDUP;
             case "fragile" -> Effect.FRAGILE;
-            default -> throw new IllegalArgumentException("settings: " + name + ": unknown effect " + c.get("effect"));
+            default -> throw new IllegalArgumentException(
+                    "settings: " + name + ": unknown effect " + c.get("effect"));
         };
         DedupScope scope = switch (text(c, "dedupScope", "none")) {
             case "all" -> DedupScope.ALL;
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
@@ -117,12 +118,12 @@
         try {
             ClientProxy proxy = new ClientProxy(config, maker, group);
             proxy.loop.submit(proxy::begin).get();
+            String address = NetUtil.toSocketAddressString(config.listen());
             ChannelFuture bound = proxy.frontend.listen(config.listen()).await();
             if (!bound.isSuccess()) {
-                throw new IOException("can't listen on " + config.listen() + ": "
-                        + bound.cause().getMessage());
+                throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage());
             }
-            System.err.println("mulleinfront: listening on " + config.listen());
+            System.err.println("mulleinfront: listening on " + address);
             return proxy;
         } catch (Exception e) {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -190,7 +191,8 @@
             if (watch == this) {
                 watch = null;
                 if (heard) {
-                    System.err.println("mulleinfront: the watch of " + address + " failed: " + cause);
+                    System.err.println("mulleinfront: the watch of " + NetUtil.toSocketAddressString(address)
+                            + " failed: " + cause);
                 }
                 listener.failed();
             }
--- a/src/test/java/mulleinfront/proxy/Peers.java
+++ b/src/test/java/mulleinfront/proxy/Peers.java
@@ -220,15 +220,16 @@
         }
     }
 
-    /** Discovery: a server that leaves every watch open for {@link #push}. */
+    /** Discovery: answers a watch when the test asks for it, and leaves it open for {@link #push}. */
     static final class Discovery implements AutoCloseable {
-        final Server server = new Server(seen -> seen.write(
-                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        final Server server = new Server(seen -> { });
 
         Discovery() throws IOException {}
 
         Seen asked() throws InterruptedException {
-            return next(server.seen, "a watch");
+            Seen watch = next(server.seen, "a watch");
+            watch.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            return watch;
         }
 
         static void push(Seen watch, String line) {
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -548,6 +548,37 @@
         assertTrue(module.lists.isEmpty(), "each failure is told once");
     }
 
+    @Test
+    void pushedListsAreWatchedUnasked() throws Exception {
+        // Guards deployments whose lists are pushed: there the module never asks, and is told of no failure.
+        discovery = keep(new Discovery());
+        String config = Peers.config(0, discovery.server.address(), "", "null")
+                .replace("subscribe", "automatic");
+        proxy = ClientProxy.start(Config.parse(config.getBytes(StandardCharsets.UTF_8)),
+                (settings, seed, now, actions) -> module);
+        Seen watch = discovery.asked();
+        assertTrue(watch.message().first().startsWith("GET /api/targets?watch=1 "), watch.message().first());
+        watch.reset();
+        Discovery.push(discovery.asked(), Peers.list(1, true));
+        assertEquals("FULL []", Peers.next(module.lists, "the list"));
+    }
+
+    @Test
+    void aHostThatMovesIsReachedAnewAndOneThatDrainsIsLeft() throws Exception {
+        Server before = host(s -> s.served("x"));
+        Server after = host(s -> s.served("x"));
+        start("", Peers.host("s", before.address(), "in_service"));
+        module.onRequest = r -> module.actions.send(r.id(), "s", 0);
+        Seen watch = discovery.asked();
+        Client client = client();
+        assertEquals(200, client.unsafe("id1", 20_000).read().status());
+        Discovery.push(watch, Peers.list(2, false, Peers.host("s", after.address(), "in_service")));
+        Peers.next(before.seen, "the first request").awaitEnd();
+        assertEquals(200, client.unsafe("id2", 20_000).read().status());
+        Discovery.push(watch, Peers.list(3, false, Peers.host("s", after.address(), "terminating")));
+        Peers.next(after.seen, "the second request").awaitEnd();
+    }
+
     @Test
     void aSilentWatchIsAFailedCall() throws Exception {
         start("", Peers.host("s", "127.0.0.1:1", "in_service"));
