Descriptors are kept to the configuration's own limit; no race at the first connection

Found by reading: - Frontend.admit used the field 'server', which the starting thread set after the loop could already have accepted: a client quick enough would have met a null and lost its connection.

--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -68,7 +68,8 @@
         this.maker = maker;
         this.group = group;
         this.loop = group.next();
-        this.upstream = new Upstream(loop, config.dialTimeoutUs(), config.settings().limits().connIdleUs());
+        this.upstream = new Upstream(loop, config.dialTimeoutUs(), config.settings().limits().connIdleUs(),
+                config.sockets());
         this.discovery = new Discovery(config, loop, upstream, new Discovery.Listener() {
             @Override
             public void listed(Source source, List<Endpoint> endpoints) {
@@ -80,7 +81,7 @@
                 watchFailed();
             }
         });
-        this.frontend = new Frontend(this, loop);
+        this.frontend = new Frontend(this, loop, config.sockets());
         List<RequestClass> all = config.settings().classes();
         this.classes = all.stream().collect(Collectors.toMap(RequestClass::name, all::indexOf));
     }
@@ -119,7 +120,8 @@
             ClientProxy proxy = new ClientProxy(config, maker, group);
             proxy.loop.submit(proxy::begin).get();
             String address = NetUtil.toSocketAddressString(config.listen());
-            ChannelFuture bound = proxy.frontend.listen(config.listen()).await();
+            ChannelFuture bound = proxy.loop.submit(() -> proxy.frontend.listen(config.listen()))
+                    .get().await();
             if (!bound.isSuccess()) {
                 throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage());
             }
--- a/src/main/java/mulleinfront/proxy/Config.java
+++ b/src/main/java/mulleinfront/proxy/Config.java
@@ -20,11 +20,16 @@
  * @param zones names of the zones, by number
  * @param kinds names of the kinds of machine, by number
  * @param tenants names of the tenants, by number
+ * @param sockets descriptors that the process may hold
  * @param dialTimeoutUs time within which a connection must have come up
  * @param known the list of hosts as last held, perhaps old; null if there is none
  */
 public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, Settings settings,
-        List<String> zones, List<String> kinds, List<String> tenants, long dialTimeoutUs, Listing known) {
+        List<String> zones, List<String> kinds, List<String> tenants, int sockets, long dialTimeoutUs,
+        Listing known) {
+
+    /** What the program is sized for; a lower limit is kept, a higher one not used. */
+    private static final int MOST_SOCKETS = 1024;
 
     /**
      * Reads the file that {@code NODE_CONFIG} names.
@@ -46,6 +51,7 @@
         InetSocketAddress discovery = null;
         String seed = null;
         Listing known = null;
+        int sockets = MOST_SOCKETS;
         SettingsReader settings = null;
         try (JsonParser in = Listing.JSON.createParser(json)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
@@ -60,6 +66,7 @@
                     case "listen" -> listen = Listing.address(in.getText());
                     case "discovery" -> discovery = Listing.address(in.getText());
                     case "seed" -> seed = in.getText();
+                    case "limits" -> sockets = sockets(in);
                     case "known" -> known = Listing.read(in);
                     case "settings" -> settings = SettingsReader.read(in);
                     default -> in.skipChildren();
@@ -71,8 +78,25 @@
         need(settings, "settings");
         need(seed, "seed");
         return new Config(listen, discovery, seed(seed), settings.toSettings(),
-                settings.names("azs"), settings.names("kinds"), settings.tenants(), settings.dialTimeoutUs(),
-                known);
+                settings.names("azs"), settings.names("kinds"), settings.tenants(), sockets,
+                settings.dialTimeoutUs(), known);
+    }
+
+    private static int sockets(JsonParser in) throws IOException {
+        if (in.currentToken() != JsonToken.START_OBJECT) {
+            throw new IOException("configuration: limits must be an object");
+        }
+        int sockets = MOST_SOCKETS;
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            boolean named = in.currentName().equals("sockets");
+            in.nextToken();
+            if (named) {
+                sockets = Math.min(sockets, in.getIntValue());
+            } else {
+                in.skipChildren();
+            }
+        }
+        return sockets;
     }
 
     private static long seed(String hex) throws IOException {
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -37,20 +37,22 @@
     /** Requests that a client may send ahead of its answers; the protocol asks for none. */
     private static final int MOST_AHEAD = 16;
     /**
-     * Most connections of clients; further ones wait to be accepted. With an attempt for each and the most
-     * idle connections to hosts, the process stays within 1,024 descriptors.
+     * Part of the process's descriptors that clients may hold; further connections wait to be accepted. With
+     * an attempt for each, and a quarter idle to hosts, an eighth is left for the rest of the process.
      */
-    private static final int MOST_CLIENTS = 320;
+    private static final double CLIENT_SOCKETS = 0.3125;
     /** How long requests go on coming after SIGTERM: 0.4 s at most by the protocol, and some slack. */
     private static final long DRAIN_MS = 600;
 
     private final ClientProxy proxy;
     private final EventLoop loop;
     private final ChannelGroup clients;
+    private final int mostClients;
     private Channel server;
     private boolean draining;
 
-    Frontend(ClientProxy proxy, EventLoop loop) {
+    Frontend(ClientProxy proxy, EventLoop loop, int sockets) {
+        this.mostClients = (int) (sockets * CLIENT_SOCKETS);
         this.proxy = proxy;
         this.loop = loop;
         this.clients = new DefaultChannelGroup(loop);
@@ -75,8 +77,8 @@
 
     private void admit(SocketChannel client) {
         clients.add(client);
-        server.config().setAutoRead(clients.size() < MOST_CLIENTS);
-        client.closeFuture().addListener(f -> server.config().setAutoRead(true));
+        client.parent().config().setAutoRead(clients.size() < mostClients);
+        client.closeFuture().addListener(f -> client.parent().config().setAutoRead(true));
     }
 
     int port() {
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -33,8 +33,8 @@
     static final int MOST_BODY = 64 * 1024;
     /** Part of the settings' idle time after which we close first: a host closes at the whole of it. */
     private static final double IDLE_PART = 0.75;
-    /** Most idle connections, so that a burst's leftovers don't eat the process's descriptors. */
-    private static final int MOST_IDLE = 256;
+    /** Part of the process's descriptors that idle connections may hold, so that a burst leaves no more. */
+    private static final double IDLE_SOCKETS = 0.25;
 
     /** Buffers count as heap, which is bounded once and for all, and need no pool at this traffic. */
     static final UnpooledByteBufAllocator BUFFERS = new UnpooledByteBufAllocator(false);
@@ -42,10 +42,12 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final long idleUs;
+    private final int mostIdle;
     private int idle;
 
-    Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs) {
+    Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int sockets) {
         this.loop = loop;
+        this.mostIdle = (int) (sockets * IDLE_SOCKETS);
         this.idleUs = (long) (connIdleUs * IDLE_PART);
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, BUFFERS)
@@ -258,7 +260,7 @@
             current = null;
             outcome = null;
             answer = null;
-            if (reusable && host.ready && channel.isActive() && idle < MOST_IDLE) {
+            if (reusable && host.ready && channel.isActive() && idle < mostIdle) {
                 inIdle = true;
                 host.idle.push(this);
                 idle++;
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -176,6 +176,7 @@
     void aBadConfigurationIsOnePlainLine() throws Exception {
         String good = Peers.config(1, "127.0.0.1:1", "", "null");
         for (String config : List.of("{", "7", "{\"listen\":\"here\"}", "{}", "{\"settings\":5}",
+                good.replace("{\"cores\"", "5,\"x\":{\"cores\""),
                 good.replace("8c1f30d27a5be964", "x"),
                 good.replace("\"maxAttempts\":4", "\"maxAttempts\":0"))) {
             byte[] bytes = config.getBytes(StandardCharsets.UTF_8);
