--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -452,7 +452,9 @@
         Server host = host(s -> { });
         start("", Peers.host("s", host.address(), "in_service"));
         // Held for ever, with no attempt: a refusal is true. With one out, only for what is safe to repeat.
-        assertEquals(503, client().unsafe("held", 300).read().status());
+        Message held = client().unsafe("held", 300).read();
+        assertEquals(503, held.status());
+        assertEquals("2", held.header("retry-after"));
         module.onRequest = r -> module.actions.send(r.id(), "s", 0);
         assertEquals(504, client().unsafe("out", 300).read().status());
         assertEquals(503, client().safe("safe", 300).read().status());
