--- a/src/main/java/mulleinfront/Main.java
+++ b/src/main/java/mulleinfront/Main.java
@@ -1,8 +1,11 @@
 package mulleinfront;
 
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 import mulleinfront.benchlink.Adapter;
 import mulleinfront.proxy.ClientProxy;
 import mulleinfront.proxy.Config;
+import sun.misc.Signal;
 
 /** Command line entry: {@code java -jar mulleinfront.jar serve}, or {@code benchlink} for the bench. */
 public final class Main {
@@ -31,9 +34,25 @@
         }
     }
 
-    /** Returns once it serves; SIGTERM lets it finish what it has taken before the process ends. */
+    /**
+     * Returns once it serves. SIGTERM lets it finish what it has taken before the process ends; SIGHUP makes
+     * it read its configuration again, also one that comes before it is ready.
+     */
     private static void serve() throws Exception {
-        ClientProxy proxy = ClientProxy.start(Config.load(System.getenv("NODE_CONFIG")));
+        String file = System.getenv("NODE_CONFIG");
+        CompletableFuture<ClientProxy> started = new CompletableFuture<>();
+        Signal.handle(new Signal("HUP"), hup -> started.thenAccept(proxy -> reload(proxy, file)));
+        ClientProxy proxy = ClientProxy.start(Config.load(file));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> proxy.drain().awaitUninterruptibly()));
+        started.complete(proxy);
+    }
+
+    /** One at a time, since each signal has its own thread: the file as it is last must be taken last. */
+    private static synchronized void reload(ClientProxy proxy, String file) {
+        try {
+            proxy.reload(Config.load(file));
+        } catch (IOException | RuntimeException e) {
+            System.err.println("mulleinfront: the configuration stays as it was: " + Adapter.plain(e));
+        }
     }
 }
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -154,6 +154,14 @@
         return group.terminationFuture();
     }
 
+    /**
+     * Takes up what may change while it serves: where discovery is. The rest of a configuration holds from
+     * start to end.
+     */
+    public void reload(Config changed) {
+        loop.execute(() -> run(() -> discovery.move(changed.discovery())));
+    }
+
     /** The port it listens on. */
     int port() {
         return frontend.port();
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -43,6 +43,8 @@
      * counts as told after 6 s even if it never came, so by then the next call must have been answered.
      */
     private static final long SILENCE_MS = 4_500;
+    /** What is to be told counts as told 4 s after a move: a new address that is silent is asked again in it. */
+    private static final long MOVED_SILENCE_MS = 1_800;
     private static final int CONNECT_MS = 1_000;
     private static final int LONGEST_LINE = 4 * 1024 * 1024;
 
@@ -53,7 +55,7 @@
         void failed();
     }
 
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Bootstrap bootstrap;
     private final Upstream upstream;
     private final Listener listener;
@@ -84,10 +86,28 @@
         return !hosts.isEmpty();
     }
 
-    /** Asks for what changed and for all changes to come, in place of the watch there was. */
+    /** Asks for what changed and for all changes to come, unless that is asked for already. */
     void watch() {
-        stop();
-        Watch asked = new Watch();
+        if (watch == null) {
+            ask(SILENCE_MS);
+        }
+    }
+
+    /**
+     * Takes up another discovery at once. It may count its versions in its own way, so the whole list is
+     * asked for; until it has come the old one holds. The old watch was given up, not failed.
+     */
+    void move(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            stop();
+            address = to;
+            version = -1;
+            ask(MOVED_SILENCE_MS);
+        }
+    }
+
+    private void ask(long patienceMs) {
+        Watch asked = new Watch(patienceMs);
         watch = asked;
         bootstrap.clone().handler(asked.pipeline()).connect(address).addListener(f -> {
             if (!f.isSuccess()) {
@@ -143,15 +163,20 @@
 
     /** One call. It fails once, however it ends, unless it was given up for another. */
     private final class Watch extends SimpleChannelInboundHandler<ByteBuf> {
+        private final long patienceMs;
         private Channel channel;
         private boolean heard;
 
+        Watch(long patienceMs) {
+            this.patienceMs = patienceMs;
+        }
+
         ChannelInitializer<SocketChannel> pipeline() {
             return new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(SocketChannel ch) {
                     channel = ch;
-                    ch.pipeline().addLast(new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS),
+                    ch.pipeline().addLast(new ReadTimeoutHandler(patienceMs, TimeUnit.MILLISECONDS),
                             new HttpResponseDecoder(), new Body(), new LineBasedFrameDecoder(LONGEST_LINE),
                             Watch.this);
                 }
@@ -169,7 +194,11 @@
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) throws IOException {
             if (watch == this && line.isReadable()) {
                 Listing listing = Listing.parse(ByteBufUtil.getBytes(line));
-                heard = true;
+                if (!heard) {
+                    heard = true;
+                    ctx.pipeline().replace(ReadTimeoutHandler.class, null,
+                            new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
+                }
                 take(listing, listing.full() ? Source.FULL : Source.DELTA);
             }
         }
--- /dev/null
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -0,0 +1,119 @@
+package mulleinfront.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import mulleinfront.proxy.Peers.Client;
+import mulleinfront.proxy.Peers.Discovery;
+import mulleinfront.proxy.Peers.Seen;
+import mulleinfront.proxy.Peers.Server;
+import org.junit.jupiter.api.Test;
+
+/** Lists of hosts, watches that fail, and a move to another discovery. */
+class DiscoveryTest extends ProxyRig {
+    @Test
+    void listsReplaceOrAmendAndABrokenWatchIsAFailedCall() throws Exception {
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        assertEquals(200, client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status());
+        Seen watch = discovery.asked();
+        String asked = watch.message().first();
+        assertTrue(asked.startsWith("GET /api/targets?watch=1&after=1 "), asked);
+        Discovery.push(watch, Peers.list(2, true, Peers.host("t", "127.0.0.1:2", "in_service")));
+        assertEquals("FULL [t 1 READY]", Peers.next(module.lists, "the whole list"));
+        Discovery.push(watch, "");
+        Discovery.push(watch, Peers.list(3, false, Peers.host("t", "127.0.0.1:2", "terminated")));
+        assertEquals("DELTA [t 1 GONE]", Peers.next(module.lists, "a change"));
+        assertEquals(503, client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status());
+        Discovery.push(watch, "{\"version\":4,\"servers\":[{\"id\":7");
+        assertEquals("failed", Peers.next(module.lists, "the bad line's failure"));
+        watch.awaitEnd();
+        assertEquals(0, discovery.server.seen.size(), "asked again only when the module says so");
+        module.onRequest = r -> {
+            module.actions.subscribe();
+            module.actions.fail(r.id());
+        };
+        client().unsafe("id1", 20_000).read();
+        Seen again = discovery.asked();
+        assertTrue(again.message().first().contains("after=3 "), again.message().first());
+        again.reset();
+        assertEquals("failed", Peers.next(module.lists, "the break"));
+        assertTrue(module.lists.isEmpty(), "each failure is told once");
+    }
+
+    @Test
+    void pushedListsAreWatchedUnasked() throws Exception {
+        // Guards deployments whose lists are pushed: there the module never asks, and is told of no failure.
+        discovery = keep(new Discovery());
+        String config = Peers.config(0, discovery.server.address(), "", "null")
+                .replace("subscribe", "automatic");
+        proxy = ClientProxy.start(Config.parse(config.getBytes(StandardCharsets.UTF_8)),
+                (settings, seed, now, actions) -> module);
+        Seen watch = discovery.asked();
+        assertTrue(watch.message().first().startsWith("GET /api/targets?watch=1 "), watch.message().first());
+        watch.reset();
+        Discovery.push(discovery.asked(), Peers.list(1, true));
+        assertEquals("FULL []", Peers.next(module.lists, "the list"));
+    }
+
+    @Test
+    void aHostThatMovesIsReachedAnewAndOneThatDrainsIsLeft() throws Exception {
+        Server before = host(s -> s.served("x"));
+        Server after = host(s -> s.served("x"));
+        start("", Peers.host("s", before.address(), "in_service"));
+        module.onRequest = r -> module.actions.send(r.id(), "s", 0);
+        Seen watch = discovery.asked();
+        Client client = client();
+        assertEquals(200, client.unsafe("id1", 20_000).read().status());
+        Discovery.push(watch, Peers.list(2, false, Peers.host("s", after.address(), "in_service")));
+        Peers.next(before.seen, "the first request").awaitEnd();
+        assertEquals(200, client.unsafe("id2", 20_000).read().status());
+        Discovery.push(watch, Peers.list(3, false, Peers.host("s", after.address(), "terminating")));
+        Peers.next(after.seen, "the second request").awaitEnd();
+    }
+
+    @Test
+    void aSilentWatchIsAFailedCall() throws Exception {
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        Seen watch = discovery.asked();
+        assertEquals("failed", Peers.next(module.lists, "the silence"));
+        watch.awaitEnd();
+    }
+
+    private void move(String address) throws Exception {
+        proxy.reload(Config.parse(Peers.config(0, address, "", "null").getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Test
+    void aMoveToAnotherDiscoveryIsNoFailedCallAndAsksForTheWholeList() throws Exception {
+        // Guards the numbering: another discovery counts its versions in its own way.
+        Discovery other = keep(new Discovery());
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        Seen watch = discovery.asked();
+        Discovery.push(watch, Peers.list(7, true, Peers.host("s", "127.0.0.1:1", "in_service")));
+        assertEquals("FULL [s 1 READY]", Peers.next(module.lists, "the first list"));
+        move(other.server.address());
+        watch.awaitEnd();
+        Seen moved = other.asked();
+        assertTrue(moved.message().first().startsWith("GET /api/targets?watch=1 "), moved.message().first());
+        assertEquals(200, client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status(),
+                "the old list holds");
+        move(other.server.address());
+        Discovery.push(moved, Peers.list(2, true, Peers.host("t", "127.0.0.1:1", "in_service")));
+        assertEquals("FULL [t 1 READY]", Peers.next(module.lists, "the other's list, and no failure before"));
+        assertEquals(0, other.server.seen.size(), "the same address is no move");
+    }
+
+    @Test
+    void aMoveToWhereNobodyAnswersFailsWithinWhatCountsAsTold() throws Exception {
+        Discovery mute = keep(new Discovery());
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        discovery.asked();
+        move(mute.server.address());
+        Peers.next(mute.server.seen, "the watch that is not answered").awaitEnd();
+        assertEquals("failed", Peers.next(module.lists, "the failure"));
+        move(discovery.server.address());
+        Discovery.push(discovery.asked(), Peers.list(9, true));
+        assertEquals("FULL []", Peers.next(module.lists, "the list after moving back"));
+    }
+}
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -34,9 +34,10 @@
 
     private final List<AutoCloseable> open = new ArrayList<>();
     private Process process;
+    private Discovery discovery;
 
     private int start(Server... hosts) throws Exception {
-        Discovery discovery = keep(new Discovery());
+        discovery = keep(new Discovery());
         List<String> known = new ArrayList<>();
         for (Server host : hosts) {
             known.add(Peers.host("s" + known.size(), host.address(), "in_service"));
@@ -172,6 +173,31 @@
         }
     }
 
+    @Test
+    void sighupMovesTheWatchAndABadFileChangesNothing() throws Exception {
+        Server host = host(s -> s.served("x"));
+        int port = start(host);
+        Discovery other = keep(new Discovery());
+        Path file = folder.resolve("config.json");
+        String good = Files.readString(file);
+        Files.writeString(file, "{");
+        hangUp();
+        Files.writeString(file, good.replace(discovery.server.address(), other.server.address()));
+        hangUp();
+        hangUp();
+        Discovery.push(other.asked(), Peers.list(1, true, Peers.host("s0", host.address(), "in_service")));
+        try (Client client = new Client(port)) {
+            assertEquals(200, client.unsafe("after", 20_000).read().status());
+        }
+        assertEquals(0, other.server.seen.size(), "one watch for two signals with the same file");
+    }
+
+    private void hangUp() throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor());
+        // Signals of one kind that are still pending are one: only the last of them is sure to be seen.
+        Thread.sleep(50);
+    }
+
     @Test
     void aBadConfigurationIsOnePlainLine() throws Exception {
         String good = Peers.config(1, "127.0.0.1:1", "", "null");
