--- a/src/main/java/mulleinfront/Main.java
+++ b/src/main/java/mulleinfront/Main.java
@@ -2,6 +2,10 @@
 
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.logging.Handler;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import mulleinfront.benchlink.Adapter;
 import mulleinfront.proxy.ClientProxy;
 import mulleinfront.proxy.Config;
@@ -39,6 +43,7 @@
      * it read its configuration again, also one that comes before it is ready.
      */
     private static void serve() throws Exception {
+        logPlainly();
         String file = System.getenv("NODE_CONFIG");
         CompletableFuture<ClientProxy> started = new CompletableFuture<>();
         Signal.handle(new Signal("HUP"), hup -> started.thenAccept(proxy -> reload(proxy, file)));
@@ -55,4 +60,25 @@
             System.err.println("mulleinfront: the configuration stays as it was: " + Adapter.plain(e));
         }
     }
+
+    /**
+     * What libraries have to say goes to standard error in plain lines. The platform's own form needs a file
+     * for the time zone: a warning that descriptors have run out would end the thread that gives it.
+     */
+    private static void logPlainly() {
+        LogManager.getLogManager().reset();
+        Logger.getLogger("").addHandler(new Handler() {
+            @Override
+            public void publish(LogRecord line) {
+                System.err.println("mulleinfront: " + line.getMessage()
+                        + (line.getThrown() == null ? "" : ": " + line.getThrown()));
+            }
+
+            @Override
+            public void flush() { }
+
+            @Override
+            public void close() { }
+        });
+    }
 }
--- a/src/main/java/mulleinfront/proxy/Call.java
+++ b/src/main/java/mulleinfront/proxy/Call.java
@@ -3,9 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -22,13 +22,11 @@
             HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE,
             HttpHeaderNames.EXPECT, HttpHeaderNames.CONTENT_LENGTH, DEADLINE);
 
-    static Call of(FullHttpRequest in) {
+    static Call of(HttpRequest in, byte[] body) {
         HttpHeaders headers = new DefaultHttpHeaders().set(in.headers());
         in.headers().getAll(HttpHeaderNames.CONNECTION).forEach(
                 names -> List.of(names.split(",")).forEach(name -> headers.remove(name.trim())));
         OWN.forEach(headers::remove);
-        byte[] body = new byte[in.content().readableBytes()];
-        in.content().readBytes(body);
         return new Call(in.method().name(), in.uri(), headers, body);
     }
 
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -5,14 +5,15 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,7 +38,12 @@
     private static final long MARGIN_US = 25_000;
     /** What the module is told ends this much earlier still, so that its own last word comes first. */
     private static final long LAST_WORD_US = 10_000;
-    private static final long MOST_DEADLINE_MS = 3_600_000;
+    /**
+     * Descriptors that the process needs for itself: some 20 for the JVM, selector, listener and watch, and
+     * as many that have been accepted or closed but not counted yet. Of the rest clients have one half and
+     * connections to hosts, of which a client's request has one at most, the other.
+     */
+    private static final int OWN_SOCKETS = 48;
     static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null);
     /** The agent that pushes lists answers at once and at no cost, unlike discovery that is asked. */
     private static final long AGENT_AGAIN_MS = 500;
@@ -68,8 +74,9 @@
         this.maker = maker;
         this.group = group;
         this.loop = group.next();
+        int half = Math.max(1, (config.sockets() - OWN_SOCKETS) / 2);
         this.upstream = new Upstream(loop, config.dialTimeoutUs(), config.settings().limits().connIdleUs(),
-                config.sockets());
+                half);
         this.discovery = new Discovery(config, loop, upstream, new Discovery.Listener() {
             @Override
             public void listed(Source source, List<Endpoint> endpoints) {
@@ -81,7 +88,7 @@
                 watchFailed();
             }
         });
-        this.frontend = new Frontend(this, loop, config.sockets());
+        this.frontend = new Frontend(this, loop, half);
         List<RequestClass> all = config.settings().classes();
         this.classes = all.stream().collect(Collectors.toMap(RequestClass::name, all::indexOf));
     }
@@ -134,6 +141,7 @@
     }
 
     private void begin() {
+        upstream.begin();
         balancer = maker.create(config.settings(), config.seed(), now(), this);
         if (config.known() != null) {
             discovery.take(config.known(), Source.CACHED);
@@ -202,54 +210,71 @@
     private static void perform(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            System.err.println("mulleinfront: " + e + " at " + e.getStackTrace()[0]);
+        } catch (RuntimeException | LinkageError e) {
+            // Exceptions thrown often come without a trace.
+            System.err.println("mulleinfront: " + e + Arrays.stream(e.getStackTrace()).limit(1)
+                    .map(at -> " at " + at).collect(Collectors.joining()));
         }
     }
 
     // ---- clients -------------------------------------------------------------------------------------
 
-    /** Takes a request that is as the protocol says; null if it is not. */
-    Exchange take(Frontend.Client client, FullHttpRequest in, long at) {
+    /** Takes a request that is as the protocol says, and answers for it at once if it is not. */
+    void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
         HttpHeaders h = in.headers();
-        String id = h.get("X-Request-Id");
-        Integer classIndex = classes.get(String.valueOf(h.get("X-Class")));
-        long deadlineMs = number(h.get(Call.DEADLINE));
-        String tenantName = h.get("X-Tenant");
+        String id = single(h, "X-Request-Id");
+        Integer classIndex = classes.get(single(h, "X-Class"));
+        long deadlineMs = Framing.number(single(h, Call.DEADLINE));
+        String tenantName = single(h, "X-Tenant");
         int tenant = config.tenants().indexOf(tenantName);
-        boolean known = tenantName == null || config.tenants().isEmpty() || tenant >= 0;
+        boolean known = !h.contains("X-Tenant") || config.tenants().isEmpty() || tenant >= 0;
         boolean fresh = id != null && !id.isEmpty() && !open.containsKey(id);
-        if (!fresh || classIndex == null || deadlineMs < 1 || !known) {
-            return null;
+        if (!fresh || classIndex == null || deadlineMs < 1 || !known
+                || config.settings().classes().get(classIndex).effect() != shown(in, body)) {
+            client.answer(HttpResponseStatus.BAD_REQUEST);
+            return;
         }
         RequestClass type = config.settings().classes().get(classIndex);
-        Effect shown = in.method().name().equals("GET") ? Effect.RETRYABLE
-                : !in.method().name().equals("POST") ? null
-                : h.contains("Idempotency-Key") ? Effect.DEDUP : Effect.FRAGILE;
-        if (type.effect() != shown) {
-            return null;
-        }
-        long deadlineUs = Math.min(deadlineMs, MOST_DEADLINE_MS) * 1000;
+        // Nobody waits longer than the class's own patience, so neither does a drain.
+        long deadlineUs = Math.min(deadlineMs, type.deadlineUs() / 1000 + 1) * 1000;
         long patience = deadlineUs - Math.min(MARGIN_US, deadlineUs / 4);
-        long budget = Math.max(1, patience - Math.min(LAST_WORD_US, deadlineUs / 8) - (now() - at));
-        Request request = new Request(id, classIndex, h.get("X-Key"), budget,
-                Math.max(0, number(h.get("X-Cost-Hint"))), tenant, "1".equals(h.get("X-Retry")));
-        Exchange x = new Exchange(client, request, type, Call.of(in), now() + budget);
+        long budget = patience - Math.min(LAST_WORD_US, deadlineUs / 8) - (now() - at);
+        if (budget <= 0) {
+            client.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, NO_BODY, comeBackUs());
+            return;
+        }
+        String key = h.contains("X-Key") ? String.join(",", h.getAll("X-Key")) : null;
+        Request request = new Request(id, classIndex, key, budget,
+                Math.max(0, Framing.number(h.get("X-Cost-Hint"))), tenant, "1".equals(h.get("X-Retry")));
+        Exchange x = new Exchange(client, request, type, Call.of(in, body), now() + budget);
         open.put(id, x);
         x.guard = loop.schedule(() -> timeUp(x), at + patience - now(), TimeUnit.MICROSECONDS);
-        return x;
-    }
-
-    void place(Exchange x) {
+        client.opened(x);
         run(() -> balancer.onRequest(now(), x.request));
     }
 
-    private static long number(String text) {
-        try {
-            return text == null ? -1 : Long.parseLong(text);
-        } catch (NumberFormatException e) {
-            return -1;
+    /** What the method and its headers say of a repeat; null if they say nothing that the protocol knows. */
+    private static Effect shown(HttpRequest in, byte[] body) {
+        int keys = in.headers().getAll("Idempotency-Key").size();
+        boolean printable = in.uri().chars().allMatch(c -> c > ' ' && c < 0x7f);
+        if (!printable || keys > 1) {
+            return null;
         }
+        return switch (in.method().name()) {
+            case "GET" -> body.length == 0 && keys == 0 ? Effect.RETRYABLE : null;
+            case "POST" -> keys == 1 ? Effect.DEDUP : Effect.FRAGILE;
+            default -> null;
+        };
+    }
+
+    /** The value of a header that comes once; null if it is missing or repeated: no reader is to choose. */
+    private static String single(HttpHeaders headers, CharSequence name) {
+        List<String> values = headers.getAll(name);
+        return values.size() == 1 ? values.get(0) : null;
+    }
+
+    private long comeBackUs() {
+        return config.settings().limits().maxRetryAfterUs();
     }
 
     /** The client closed its connection. */
@@ -266,7 +291,7 @@
                     || x.type.effect() == Effect.DEDUP && x.type.scope() == DedupScope.ALL;
             x.client.answer(harmless ? HttpResponseStatus.SERVICE_UNAVAILABLE
                     : HttpResponseStatus.GATEWAY_TIMEOUT, NO_BODY,
-                    harmless ? config.settings().limits().maxRetryAfterUs() : 0);
+                    harmless ? comeBackUs() : 0);
             tellGone(x);
         }
     }
@@ -278,8 +303,11 @@
 
     private void tellGone(Exchange x) {
         run(() -> {
-            balancer.onRequestGone(now(), x.request.id());
-            forget(x);
+            try {
+                balancer.onRequestGone(now(), x.request.id());
+            } finally {
+                forget(x);
+            }
         });
     }
 
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -43,7 +43,7 @@
      * counts as told after 6 s even if it never came, so by then the next call must have been answered.
      */
     private static final long SILENCE_MS = 4_500;
-    /** What is to be told counts as told 4 s after a move: a new address that is silent is asked again in it. */
+    /** News counts as told 4 s after a move: within that time a silent new address is asked again. */
     private static final long MOVED_SILENCE_MS = 1_800;
     private static final int CONNECT_MS = 1_000;
     private static final int LONGEST_LINE = 4 * 1024 * 1024;
--- /dev/null
+++ b/src/main/java/mulleinfront/proxy/Framing.java
@@ -0,0 +1,115 @@
+package mulleinfront.proxy;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.AsciiString;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Where a message begins and ends, strictly by RFC 9112. The codec mends what is ambiguous and reads on; one
+ * in the middle must not: what the two sides of it read differently hides a second request or a cut answer.
+ */
+final class Framing {
+    static final int MOST_BODY = 64 * 1024;
+    private static final HttpDecoderConfig STRICT = new HttpDecoderConfig().setStrictLineParsing(true)
+            .setAllowDuplicateContentLengths(false);
+
+    private Framing() {}
+
+    static class RequestDecoder extends HttpRequestDecoder {
+        RequestDecoder() {
+            super(STRICT);
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("two lengths");
+        }
+
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            needColon(line, start + length);
+            return super.splitHeaderName(line, start, length);
+        }
+    }
+
+    static class ResponseDecoder extends HttpResponseDecoder {
+        ResponseDecoder() {
+            super(STRICT);
+        }
+
+        /** Whether it holds the beginning of something that it could not yet make a message of. */
+        boolean holdsMore() {
+            return actualReadableBytes() > 0;
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("two lengths");
+        }
+
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            needColon(line, start + length);
+            return super.splitHeaderName(line, start, length);
+        }
+    }
+
+    /** The codec takes a line without a colon for the name of an empty header. */
+    private static void needColon(byte[] line, int at) {
+        if (at >= line.length || line[at] != ':') {
+            throw new IllegalArgumentException("a header without a colon");
+        }
+    }
+
+    /** Whether a head can be read in one way only, as HTTP/1; says nothing of a body that is yet to come. */
+    static boolean sound(HttpMessage head) {
+        HttpVersion version = head.protocolVersion();
+        HttpHeaders headers = head.headers();
+        if (head.decoderResult().isFailure()
+                || !version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
+            return false;
+        }
+        for (Map.Entry<String, String> h : headers) {
+            if (h.getKey().isEmpty() || HttpHeaderValidationUtil.validateToken(h.getKey()) >= 0
+                    || HttpHeaderValidationUtil.validateValidHeaderValue(h.getValue()) >= 0) {
+                return false;
+            }
+        }
+        List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        List<String> lengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH);
+        if (!encodings.isEmpty()) {
+            return encodings.size() == 1 && lengths.isEmpty() && version.equals(HttpVersion.HTTP_1_1)
+                    && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0));
+        }
+        return lengths.isEmpty() || lengths.size() == 1 && number(lengths.get(0)) >= 0;
+    }
+
+    /** Whether a sound head says how long its body is. */
+    static boolean statesLength(HttpHeaders headers) {
+        return headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+                || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+    }
+
+    /** Whether a sound head states a body larger than any may be. */
+    static boolean tooLong(HttpHeaders headers) {
+        return number(headers.get(HttpHeaderNames.CONTENT_LENGTH)) > MOST_BODY;
+    }
+
+    /** A number of digits alone; -1 if it is none: no sign, no fraction, no list, nothing that overflows. */
+    static long number(String text) {
+        if (text == null || text.isEmpty() || text.length() > 18
+                || !text.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            return -1;
+        }
+        return Long.parseLong(text);
+    }
+}
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -1,46 +1,63 @@
 package mulleinfront.proxy;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.concurrent.Future;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
 import java.util.concurrent.TimeUnit;
 
 /**
  * What the application connects to. It reads requests, hands those for hosts to the {@link ClientProxy}
- * and writes final answers, one at a time on each connection.
+ * and writes final answers, one at a time on each connection. Nothing that a client sends, or does not send,
+ * may cost more than its own connection.
  */
 final class Frontend {
-    /** Requests that a client may send ahead of its answers; the protocol asks for none. */
+    /**
+     * What a client may send ahead of its answers before reading stops: requests, and bytes of bodies. All
+     * clients together may send {@code MOST_HELD} bytes ahead; above that only what is not yet whole is read.
+     */
     private static final int MOST_AHEAD = 16;
+    private static final int MOST_AHEAD_BYTES = Framing.MOST_BODY;
+    private static final int MOST_HELD = 8 * 1024 * 1024;
+    /** One read at most, so that what is decoded after reading has been stopped stays small. */
+    private static final int READ_BYTES = 8 * 1024;
+    /** While reading has stopped, one read now and then tells of a client that left. */
+    private static final long PEEK_MS = 200;
     /**
-     * Part of the process's descriptors that clients may hold; further connections wait to be accepted. With
-     * an attempt for each, and a quarter idle to hosts, an eighth is left for the rest of the process.
+     * A connection without an open request ends after this long: the protocol allows it after 2 s, and a
+     * client that says nothing or never gets to the end of a request is owed an end within 3 s.
      */
-    private static final double CLIENT_SOCKETS = 0.3125;
+    private static final long QUIET_MS = 2_300;
+    private static final long SWEEP_MS = 100;
     /** How long requests go on coming after SIGTERM: 0.4 s at most by the protocol, and some slack. */
     private static final long DRAIN_MS = 600;
 
@@ -48,11 +65,15 @@
     private final EventLoop loop;
     private final ChannelGroup clients;
     private final int mostClients;
+    /** Connections without an open request, the longest quiet first. */
+    private final LinkedHashSet<Client> quiet = new LinkedHashSet<>();
+    private long held;
     private Channel server;
     private boolean draining;
+    private boolean deaf;
 
-    Frontend(ClientProxy proxy, EventLoop loop, int sockets) {
-        this.mostClients = (int) (sockets * CLIENT_SOCKETS);
+    Frontend(ClientProxy proxy, EventLoop loop, int mostClients) {
+        this.mostClients = mostClients;
         this.proxy = proxy;
         this.loop = loop;
         this.clients = new DefaultChannelGroup(loop);
@@ -61,24 +82,45 @@
     ChannelFuture listen(InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
+                .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        admit(ch);
-                        ch.pipeline().addLast(new HttpServerCodec(),
-                                new HttpObjectAggregator(Upstream.MOST_BODY), new Client(ch));
+                        Client client = new Client(ch);
+                        ch.pipeline().addLast(new Framing.RequestDecoder(), new HttpResponseEncoder(),
+                                client);
+                        admit(ch, client);
                     }
                 }).bind(address);
         server = bound.channel();
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bound;
     }
 
-    private void admit(SocketChannel client) {
-        clients.add(client);
-        client.parent().config().setAutoRead(clients.size() < mostClients);
-        client.closeFuture().addListener(f -> client.parent().config().setAutoRead(true));
+    /** At the most, the longest quiet one makes room; where all have a request open, a new one must wait. */
+    private void admit(SocketChannel ch, Client client) {
+        if (clients.size() >= mostClients && !quiet.isEmpty()) {
+            Client longest = quiet.iterator().next();
+            quiet.remove(longest);
+            longest.channel.close();
+        }
+        clients.add(ch);
+        client.hush();
+        ch.closeFuture().addListener(f -> acceptIfRoom(ch));
+    }
+
+    private void acceptIfRoom(Channel client) {
+        client.parent().config().setAutoRead(clients.size() < mostClients || !quiet.isEmpty());
+    }
+
+    private void sweep() {
+        long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(QUIET_MS);
+        for (Client c; !quiet.isEmpty() && (c = quiet.iterator().next()).quietAt - before < 0;) {
+            c.tooLong();
+        }
     }
 
     int port() {
@@ -86,70 +128,193 @@
     }
 
     /**
-     * Serves on while requests may come, each answer the last of its connection; then stops listening,
-     * closes what is idle and runs {@code done} when the last client has its answer.
+     * Serves on while requests may come, each answer the last of its connection; then stops listening and
+     * reading, closes what is idle and runs {@code done} when the last client has its answer.
      */
     void drain(Runnable done) {
         draining = true;
         loop.schedule(() -> {
+            deaf = true;
             server.close();
-            clients.forEach(c -> c.pipeline().get(Client.class).closeIfIdle());
+            clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
             clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
         }, DRAIN_MS, TimeUnit.MILLISECONDS);
     }
 
     /** One connection of the application. */
-    final class Client extends SimpleChannelInboundHandler<FullHttpRequest> {
+    final class Client extends SimpleChannelInboundHandler<HttpObject> {
         private final Channel channel;
         private final ArrayDeque<Ahead> ahead = new ArrayDeque<>();
+        private int aheadBytes;
+        /** The request being read, its body so far, and whether the client waits to be told to send it. */
+        private HttpRequest head;
+        private ByteBuf body;
+        private boolean expects;
+        /** Set by what can't be read: nothing after it is. */
+        private boolean lost;
         private boolean busy;
+        private boolean pumping;
+        private boolean peeking;
         private boolean keepAlive;
+        private long quietAt;
         private ClientProxy.Exchange exchange;
 
-        private record Ahead(FullHttpRequest request, long at) {}
+        /** A request as read, or what is to be said of one that can't be. */
+        private record Ahead(HttpRequest head, byte[] body, long at, HttpResponseStatus error) {}
 
         Client(Channel channel) {
             this.channel = channel;
         }
 
+        // ---- reading ---------------------------------------------------------------------------------
+
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest in) {
-            if (!busy) {
-                handle(in, proxy.now());
-            } else if (ahead.size() < MOST_AHEAD) {
-                ahead.add(new Ahead(in.retain(), proxy.now()));
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject in) {
+            if (lost) {
+                return;
+            }
+            if (in.decoderResult().isFailure()) {
+                Throwable why = in.decoderResult().cause();
+                unreadable(why instanceof TooLongHttpLineException ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+                        : why instanceof TooLongHttpHeaderException
+                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+                        : HttpResponseStatus.BAD_REQUEST);
+                return;
+            }
+            if (in instanceof HttpRequest request) {
+                begin(request);
+            }
+            if (in instanceof HttpContent content && !lost) {
+                append(content.content());
+                if (in instanceof LastHttpContent && !lost) {
+                    end();
+                }
+            }
+        }
+
+        private void begin(HttpRequest request) {
+            String expected = request.headers().get(HttpHeaderNames.EXPECT);
+            expects = expected != null;
+            if (!Framing.sound(request)) {
+                unreadable(HttpResponseStatus.BAD_REQUEST);
+            } else if (Framing.tooLong(request.headers())) {
+                unreadable(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            } else if (expects && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expected)) {
+                unreadable(HttpResponseStatus.EXPECTATION_FAILED);
             } else {
-                ctx.close();
+                head = request;
+                body = Upstream.BUFFERS.buffer();
+                goAhead();
+            }
+        }
+
+        /** Tells a client that asks first to send its body, once it is its turn. */
+        private void goAhead() {
+            if (expects && head != null && !busy) {
+                expects = false;
+                channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+            }
+        }
+
+        private void append(ByteBuf more) {
+            if (body.readableBytes() + more.readableBytes() > Framing.MOST_BODY) {
+                unreadable(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            } else {
+                hold(more.readableBytes());
+                body.writeBytes(more);
+            }
+        }
+
+        private void end() {
+            byte[] whole = new byte[body.readableBytes()];
+            body.readBytes(whole);
+            HttpRequest request = head;
+            head = null;
+            ahead.add(new Ahead(request, whole, proxy.now(), null));
+            pump();
+        }
+
+        /** The last that is read of this client: what it sent before is served, then it is told. */
+        private void unreadable(HttpResponseStatus error) {
+            lost = true;
+            head = null;
+            ahead.add(new Ahead(null, new byte[0], 0, error));
+            pump();
+        }
+
+        private void hold(int bytes) {
+            aheadBytes += bytes;
+            held += bytes;
+        }
+
+        /** Reading stops while enough waits. Only a read shows that a client left: one is made at times. */
+        private void readOn() {
+            boolean enough = busy && !lost && (ahead.size() >= MOST_AHEAD
+                    || aheadBytes >= MOST_AHEAD_BYTES || held >= MOST_HELD);
+            channel.config().setAutoRead(!enough && !deaf);
+            if (enough && !peeking) {
+                peeking = true;
+                loop.schedule(this::peek, PEEK_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private void peek() {
+            peeking = false;
+            if (channel.isActive()) {
+                if (aheadBytes < 2 * MOST_AHEAD_BYTES && held < MOST_HELD) {
+                    channel.read();
+                }
+                readOn();
             }
         }
 
-        private void handle(FullHttpRequest in, long at) {
+        // ---- answering -------------------------------------------------------------------------------
+
+        /** Takes up requests in their order while none is open. */
+        private void pump() {
+            if (pumping) {
+                return;
+            }
+            pumping = true;
+            while (!busy && !ahead.isEmpty() && channel.isActive()) {
+                Ahead next = ahead.poll();
+                hold(-next.body().length);
+                handle(next);
+            }
+            pumping = false;
+            goAhead();
+            readOn();
+        }
+
+        private void handle(Ahead next) {
             busy = true;
-            boolean bad = in.decoderResult().isFailure();
-            keepAlive = !bad && HttpUtil.isKeepAlive(in);
-            String path = in.uri().split("\\?", 2)[0];
-            if (bad) {
-                answer(HttpResponseStatus.BAD_REQUEST);
+            quiet.remove(this);
+            HttpRequest in = next.head();
+            keepAlive = in != null && HttpUtil.isKeepAlive(in);
+            String path = in == null ? "" : in.uri().split("\\?", 2)[0];
+            if (in == null) {
+                answer(next.error());
             } else if (path.equals("/-/ready")) {
                 answer(proxy.ready() && !draining ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE);
             } else if (!path.equals("/api") && !path.startsWith("/api/")) {
                 answer(HttpResponseStatus.NOT_FOUND);
             } else {
-                exchange = proxy.take(this, in, at);
-                if (exchange == null) {
-                    answer(HttpResponseStatus.BAD_REQUEST);
-                } else {
-                    proxy.place(exchange);
-                }
+                proxy.take(this, in, next.body(), next.at());
             }
         }
 
+        /** The request at hand is open until {@link #answer}. */
+        void opened(ClientProxy.Exchange exchange) {
+            this.exchange = exchange;
+        }
+
         void answer(HttpResponseStatus status) {
             answer(status, ClientProxy.NO_BODY, 0);
         }
 
-        /** The final answer of the request at hand, then on to the next if the client sent ahead. */
+        /** The final answer of the request at hand; the next has its turn when this one is written. */
         void answer(HttpResponseStatus status, Upstream.Answer what, long retryAfterUs) {
             exchange = null;
             DefaultFullHttpResponse out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
@@ -166,32 +331,53 @@
             if (last) {
                 out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
-            ChannelFuture written = channel.writeAndFlush(out);
-            if (last) {
-                written.addListener(ChannelFutureListener.CLOSE);
-                return;
-            }
-            busy = false;
-            Ahead next = ahead.poll();
-            if (next != null) {
-                try {
-                    handle(next.request(), next.at());
-                } finally {
-                    next.request().release();
+            hush();
+            channel.writeAndFlush(out).addListener(written -> {
+                if (last || !written.isSuccess()) {
+                    channel.close();
+                } else {
+                    busy = false;
+                    pump();
                 }
+            });
+        }
+
+        /** From here on the connection is quiet: also one whose client does not read its answer. */
+        private void hush() {
+            if (channel.isActive()) {
+                quietAt = System.nanoTime();
+                quiet.remove(this);
+                quiet.add(this);
+                acceptIfRoom(channel);
             }
         }
 
-        void closeIfIdle() {
-            if (!busy) {
+        private void tooLong() {
+            quiet.remove(this);
+            if (head != null && !busy) {
+                busy = true;
+                keepAlive = false;
+                answer(HttpResponseStatus.REQUEST_TIMEOUT);
+            } else {
+                channel.close();
+            }
+        }
+
+        /** Nothing more is read; what is open has its answer first. */
+        private void lastCall() {
+            if (busy) {
+                readOn();
+            } else {
                 channel.close();
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            ahead.forEach(a -> a.request().release());
+            quiet.remove(this);
             ahead.clear();
+            held -= aheadBytes;
+            aheadBytes = 0;
             if (exchange != null) {
                 proxy.gone(exchange);
             }
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -1,8 +1,9 @@
 package mulleinfront.proxy;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -11,50 +12,68 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.timeout.IdleStateEvent;
-import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import mulleinfront.Balancer.Outcome;
 
 /**
  * Connections to hosts, one request at a time on each, and the attempts made on them. It resends nothing:
- * an attempt is written once at most, and ends exactly once, with the outcome that can be vouched for.
+ * an attempt is written whole once at most, and ends exactly once, with the outcome that can be vouched for.
  */
 final class Upstream {
-    static final int MOST_BODY = 64 * 1024;
     /** Part of the settings' idle time after which we close first: a host closes at the whole of it. */
     private static final double IDLE_PART = 0.75;
-    /** Part of the process's descriptors that idle connections may hold, so that a burst leaves no more. */
-    private static final double IDLE_SOCKETS = 0.25;
+    private static final long SWEEP_MS = 100;
+    /** How long a connection rests after an answer: what follows that unasked must not meet a new request. */
+    private static final long REST_NANOS = 3_000_000;
+    /** Interim answers (1xx) to one request; more of them is noise. */
+    private static final int MOST_INTERIM = 16;
 
     /** Buffers count as heap, which is bounded once and for all, and need no pool at this traffic. */
     static final UnpooledByteBufAllocator BUFFERS = new UnpooledByteBufAllocator(false);
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
-    private final long idleUs;
-    private final int mostIdle;
-    private int idle;
+    private final long idleNanos;
+    private final int mostConnections;
+    /** Idle connections to all hosts, the longest idle first. */
+    private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
+    private int connections;
 
-    Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int sockets) {
+    Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int mostConnections) {
         this.loop = loop;
-        this.mostIdle = (int) (sockets * IDLE_SOCKETS);
-        this.idleUs = (long) (connIdleUs * IDLE_PART);
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.mostConnections = mostConnections;
+        this.idleNanos = (long) (connIdleUs * 1000 * IDLE_PART);
+        this.bootstrap = new Bootstrap().group(loop)
                 .option(ChannelOption.ALLOCATOR, BUFFERS)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1000));
     }
 
+    /** Closes what has been idle for long, from now on. */
+    void begin() {
+        loop.scheduleWithFixedDelay(() -> {
+            long before = System.nanoTime() - idleNanos;
+            for (Connection c; !idle.isEmpty() && (c = idle.iterator().next()).idleAt - before < 0;) {
+                c.close();
+            }
+        }, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** A host as last listed; all fields are discovery's to set. */
     static final class Host {
         final String id;
@@ -91,6 +110,21 @@
         }
     }
 
+    /** The last used of the idle connections that have rested and show nothing; null if there is none. */
+    private Connection rested(Host host) {
+        long before = System.nanoTime() - REST_NANOS;
+        for (Connection c : List.copyOf(host.idle)) {
+            if (c.idleAt - before < 0) {
+                if (c.channel.untouched()) {
+                    c.leaveIdle();
+                    return c;
+                }
+                c.close();
+            }
+        }
+        return null;
+    }
+
     final class Attempt {
         private final Host host;
         private final Call call;
@@ -114,20 +148,35 @@
 
         /** The end may be told before this returns. */
         void start() {
-            Connection reused = host.idle.peek();
+            Connection reused = rested(host);
             if (reused != null) {
-                reused.leaveIdle();
-                write(reused);
+                write(reused, true);
+            } else {
+                connect();
+            }
+        }
+
+        private void connect() {
+            if (connections >= mostConnections && !idle.isEmpty()) {
+                idle.iterator().next().close();
+            }
+            Connection fresh;
+            try {
+                fresh = new Connection(host);
+            } catch (ChannelException noDescriptor) {
+                finish(Outcome.CONNECT_ERROR, null);
                 return;
             }
-            Connection fresh = new Connection(host);
-            ChannelFuture up = bootstrap.clone().handler(fresh.pipeline()).connect(host.address);
+            ChannelFuture up = bootstrap.clone().channelFactory(() -> fresh.channel)
+                    .handler(fresh.pipeline()).connect(host.address);
+            connections++;
+            up.channel().closeFuture().addListener(f -> connections--);
             connecting = up;
             up.addListener(f -> {
                 if (over) {
                     up.channel().close();
                 } else if (f.isSuccess()) {
-                    write(fresh);
+                    write(fresh, false);
                 } else {
                     finish(Outcome.CONNECT_ERROR, null);
                 }
@@ -136,9 +185,10 @@
 
         /**
          * The one place where a request goes out. While the connection came up the host may have been told
-         * to drain, or the request may have ended: then nothing is written, and that is known.
+         * to drain, or the request may have ended: then nothing is written, and that is known. A reused
+         * connection that does not take the whole of it says nothing of the host: a fresh one is tried.
          */
-        private void write(Connection c) {
+        private void write(Connection c, boolean reused) {
             connection = c;
             connecting = null;
             if (!host.ready || !wanted.getAsBoolean()) {
@@ -149,7 +199,13 @@
             long leftMs = Math.max(1, (endNanos - System.nanoTime()) / 1_000_000);
             written = c.channel.writeAndFlush(call.encode(leftMs));
             written.addListener(f -> {
-                if (!f.isSuccess()) {
+                if (f.isSuccess() || over) {
+                    return;
+                }
+                if (reused) {
+                    release();
+                    connect();
+                } else {
                     broken();
                 }
             });
@@ -170,6 +226,17 @@
             finish(written.isSuccess() ? Outcome.RESET : Outcome.CONNECT_ERROR, null);
         }
 
+        private void release() {
+            if (connection != null) {
+                connection.current = null;
+                connection.close();
+                connection = null;
+                written = null;
+            } else if (connecting != null) {
+                connecting.channel().close();
+            }
+        }
+
         /** Closes what the attempt still holds before its end is told: what follows may be another. */
         private void finish(Outcome outcome, Answer answer) {
             if (over) {
@@ -177,26 +244,48 @@
             }
             over = true;
             timer.cancel(false);
-            if (connection != null) {
-                connection.current = null;
-                connection.close();
-            } else if (connecting != null) {
-                connecting.channel().close();
-            }
+            release();
             end.ended(outcome, answer);
         }
     }
 
+    /** A socket that can be asked whether anything has come: the loop may not have seen it yet. */
+    private static final class HostChannel extends NioSocketChannel {
+        boolean untouched() {
+            try {
+                return isActive() && javaChannel().read(ByteBuffer.allocate(1)) == 0;
+            } catch (IOException e) {
+                return false;
+            }
+        }
+    }
+
     /** One connection to a host: busy with one attempt, or idle in its host's list, or closed. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Host host;
-        private Channel channel;
+        private final HostChannel channel = new HostChannel();
+        private final ByteBuf body = BUFFERS.buffer();
         private Attempt current;
-        private boolean inIdle;
-        private boolean reusable;
+        private long idleAt;
+        private HttpResponse head;
+        private int interim;
+        private boolean reusable = true;
         private Outcome outcome;
         private Answer answer;
 
+        /** What comes while nothing is asked belongs to no request, read to its end or not. */
+        private final Framing.ResponseDecoder decoder = new Framing.ResponseDecoder() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object in) throws Exception {
+                if (current == null) {
+                    ReferenceCountUtil.release(in);
+                    ctx.close();
+                } else {
+                    super.channelRead(ctx, in);
+                }
+            }
+        };
+
         Connection(Host host) {
             this.host = host;
         }
@@ -205,18 +294,14 @@
             return new ChannelInitializer<>() {
                 @Override
                 protected void initChannel(SocketChannel ch) {
-                    channel = ch;
-                    ch.pipeline().addLast(new IdleStateHandler(0, 0, idleUs, TimeUnit.MICROSECONDS),
-                            new HttpResponseDecoder(), new HttpObjectAggregator(MOST_BODY), Connection.this);
+                    ch.pipeline().addLast(decoder, Connection.this);
                 }
             };
         }
 
         void leaveIdle() {
-            if (inIdle) {
-                inIdle = false;
+            if (idle.remove(this)) {
                 host.idle.remove(this);
-                idle--;
             }
         }
 
@@ -225,24 +310,70 @@
             channel.close();
         }
 
-        /** Keeps the answer until the read is over: what follows it unasked must not meet a new request. */
+        /**
+         * An answer is served only if it is whole by its own word; the codec would also take as whole what
+         * ends with its connection, or has two lengths. What can't be read may have run all the same.
+         */
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse in) {
-            if (in.decoderResult().isFailure() || current == null || outcome != null) {
-                ctx.close();
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject in) {
+            if (current == null) {
+                return;
+            }
+            if (outcome != null) {
+                reusable = false;
                 return;
             }
-            int status = in.status().code();
-            if (status < 200) {
+            if (in.decoderResult().isFailure()) {
+                spoilt();
                 return;
             }
-            boolean notRun = (status == 503 || status == 504) && "1".equals(in.headers().get("X-Not-Run"));
+            if (in instanceof HttpResponse response) {
+                begin(response);
+                if (outcome != null) {
+                    return;
+                }
+            }
+            if (in instanceof HttpContent content && head.status().code() >= 200) {
+                if (body.readableBytes() + content.content().readableBytes() > Framing.MOST_BODY) {
+                    spoilt();
+                    return;
+                }
+                body.writeBytes(content.content());
+                if (in instanceof LastHttpContent) {
+                    whole();
+                }
+            }
+        }
+
+        private void begin(HttpResponse response) {
+            head = response;
+            int status = response.status().code();
+            boolean interimToo = status < 200 && status != 101 && ++interim <= MOST_INTERIM;
+            boolean stated = Framing.statesLength(response.headers());
+            if (!Framing.sound(response) || Framing.tooLong(response.headers())
+                    || status < 200 && !interimToo || status == 200 && !stated) {
+                spoilt();
+            } else if (status > 200 && !stated) {
+                whole();
+                reusable = false;
+            }
+        }
+
+        private void spoilt() {
+            outcome = Outcome.FAILED;
+            reusable = false;
+        }
+
+        /** Keeps the answer until the read is over: what follows it unasked ends the connection. */
+        private void whole() {
+            int status = head.status().code();
+            boolean notRun = (status == 503 || status == 504) && "1".equals(head.headers().get("X-Not-Run"));
             outcome = status == 200 ? Outcome.OK : notRun ? Outcome.QUEUE_FULL : Outcome.FAILED;
-            reusable = HttpUtil.isKeepAlive(in) && current.written.isSuccess();
+            reusable = HttpUtil.isKeepAlive(head) && current.written.isSuccess();
             if (status == 200) {
-                byte[] body = new byte[in.content().readableBytes()];
-                in.content().readBytes(body);
-                answer = new Answer(body, in.headers().get(HttpHeaderNames.CONTENT_TYPE));
+                byte[] bytes = new byte[body.readableBytes()];
+                body.readBytes(bytes);
+                answer = new Answer(bytes, head.headers().get(HttpHeaderNames.CONTENT_TYPE));
             }
         }
 
@@ -260,10 +391,12 @@
             current = null;
             outcome = null;
             answer = null;
-            if (reusable && host.ready && channel.isActive() && idle < mostIdle) {
-                inIdle = true;
+            interim = 0;
+            body.clear();
+            if (reusable && !decoder.holdsMore() && host.ready && channel.isActive()) {
+                idleAt = System.nanoTime();
                 host.idle.push(this);
-                idle++;
+                idle.add(this);
             } else {
                 channel.close();
             }
@@ -283,17 +416,7 @@
             }
         }
 
-        @Override
-        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-            if (event instanceof IdleStateEvent && current == null) {
-                close();
-            }
-        }
-
-        /**
-         * Garbage, an oversized answer or a reset: it costs this connection and its attempt, no more. The
-         * attempt ends before the close: an answer without a length would seem to end there in good order.
-         */
+        /** A reset, say: it costs this connection and its attempt, no more. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (current != null && outcome == null) {
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -132,6 +132,7 @@
         module.onEnd = e -> module.actions.fail(e.requestId());
         Client client = client();
         assertEquals(200, client.unsafe("id1", 20_000).read().status());
+        Thread.sleep(50); // a connection rests after an answer before it is used again
         assertEquals(502, client.unsafe("id2", 20_000).read().status());
         assertEquals(Outcome.OK, Peers.next(module.ends, "the first end").outcome());
         assertEquals(Outcome.RESET, Peers.next(module.ends, "the second end").outcome());
