--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -218,6 +218,7 @@
         if (source != Source.DELTA) {
             List.copyOf(listed).stream().filter(n -> n.seen != walk).forEach(this::leave);
         }
+        nodes.values().removeIf(n -> !n.onRing && n.outstanding.isEmpty());
         ring.merge();
         weigh(now);
         retryHeld(now);
@@ -273,9 +274,6 @@
         n.ready = false;
         listed.remove(n);
         ring.remove(n);
-        if (n.outstanding.isEmpty()) {
-            nodes.remove(n.id);
-        }
     }
 
     /** Listed size; weights that follow load would move keys with every list and count as 1. */
--- a/src/main/java/mulleinfront/Main.java
+++ b/src/main/java/mulleinfront/Main.java
@@ -1,6 +1,10 @@
 package mulleinfront;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.logging.Handler;
 import java.util.logging.LogManager;
@@ -11,7 +15,10 @@
 import mulleinfront.proxy.Config;
 import sun.misc.Signal;
 
-/** Command line entry: {@code java -jar mulleinfront.jar serve}, or {@code benchlink} for the bench. */
+/**
+ * Command line entry: {@code java -jar mulleinfront.jar serve}, or {@code benchlink} for the bench;
+ * {@code rehearse} is for the build.
+ */
 public final class Main {
     private Main() {}
 
@@ -19,7 +26,7 @@
      * Starts the client proxy that {@code NODE_CONFIG} describes, or the bench adapter on standard input
      * and output.
      *
-     * @param args exactly one word, {@code serve} or {@code benchlink}
+     * @param args exactly one word, {@code serve}, {@code benchlink} or {@code rehearse}
      */
     public static void main(String[] args) {
         String mode = args.length == 1 ? args[0] : "";
@@ -27,8 +34,9 @@
             switch (mode) {
                 case "benchlink" -> Adapter.run(System.in, System.out);
                 case "serve" -> serve();
+                case "rehearse" -> rehearse();
                 default -> {
-                    System.err.println("usage: java -jar mulleinfront.jar serve|benchlink");
+                    System.err.println("usage: java -jar mulleinfront.jar serve|benchlink|rehearse");
                     System.exit(2);
                 }
             }
@@ -52,6 +60,24 @@
         started.complete(proxy);
     }
 
+    /**
+     * Starts as a client proxy does, refuses one request for want of hosts and ends: while it does, the build
+     * lets the JVM note which classes a start needs, so that the deployed one has them at hand.
+     */
+    private static void rehearse() throws Exception {
+        logPlainly();
+        try (InputStream sample = Main.class.getResourceAsStream("/rehearsal.json")) {
+            ClientProxy proxy = ClientProxy.start(Config.parse(sample.readAllBytes()));
+            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), proxy.port())) {
+                client.getOutputStream().write(("GET /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
+                        + "X-Class: sample\r\nX-Deadline-Ms: 100\r\nConnection: close\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
+                client.getInputStream().readAllBytes();
+            }
+            proxy.drain().awaitUninterruptibly();
+        }
+    }
+
     /** One at a time, since each signal has its own thread: the file as it is last must be taken last. */
     private static synchronized void reload(ClientProxy proxy, String file) {
         try {
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -55,11 +55,12 @@
     private final Upstream upstream;
     private final Discovery discovery;
     private final Frontend frontend;
-    private final Map<String, Integer> classes;
+    private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Exchange> open = new HashMap<>();
     /** Events for the module and its actions, in order; see {@link #run}. */
     private final ArrayDeque<Runnable> work = new ArrayDeque<>();
     private boolean working;
+    private boolean rehearsing;
     private final Maker maker;
     private Balancer balancer;
     private ScheduledFuture<?> wake;
@@ -90,7 +91,9 @@
         });
         this.frontend = new Frontend(this, loop, half);
         List<RequestClass> all = config.settings().classes();
-        this.classes = all.stream().collect(Collectors.toMap(RequestClass::name, all::indexOf));
+        for (int i = 0; i < all.size(); i++) {
+            classes.put(all.get(i).name(), i);
+        }
     }
 
     /** A request taken and not yet forgotten. */
@@ -118,21 +121,37 @@
 
     /** Starts to serve; returns once it listens. */
     public static ClientProxy start(Config config) throws Exception {
+        Rehearsal.decide(config.settings());
+        rehearse(config);
         return start(config, Balancer::create);
     }
 
+    /** Is its own host for a moment, and not ready; ends before the real one begins. */
+    private static void rehearse(Config config) throws Exception {
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try {
+            ClientProxy proxy = new ClientProxy(config, null, group);
+            proxy.rehearsing = true;
+            proxy.balancer = Rehearsal.module(proxy);
+            proxy.listen();
+            proxy.loop.submit(() -> {
+                proxy.discovery.take(Rehearsal.self(config.listen().getAddress(), proxy.port()), Source.FULL);
+                return new Rehearsal.Rounds(proxy.loop, proxy.upstream, proxy.discovery.host(Rehearsal.SELF),
+                        config.settings().classes().get(0)).next();
+            }).get().await();
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
+        }
+    }
+
     static ClientProxy start(Config config, Maker maker) throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             ClientProxy proxy = new ClientProxy(config, maker, group);
             proxy.loop.submit(proxy::begin).get();
-            String address = NetUtil.toSocketAddressString(config.listen());
-            ChannelFuture bound = proxy.loop.submit(() -> proxy.frontend.listen(config.listen()))
-                    .get().await();
-            if (!bound.isSuccess()) {
-                throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage());
-            }
-            System.err.println("mulleinfront: listening on " + address);
+            proxy.listen();
+            System.err.println("mulleinfront: listening on "
+                    + NetUtil.toSocketAddressString(config.listen()));
             return proxy;
         } catch (Exception e) {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
@@ -140,6 +159,14 @@
         }
     }
 
+    private void listen() throws Exception {
+        ChannelFuture bound = loop.submit(() -> frontend.listen(config.listen())).get().await();
+        if (!bound.isSuccess()) {
+            throw new IOException("can't listen on " + NetUtil.toSocketAddressString(config.listen()) + ": "
+                    + bound.cause().getMessage());
+        }
+    }
+
     private void begin() {
         upstream.begin();
         balancer = maker.create(config.settings(), config.seed(), now(), this);
@@ -171,7 +198,7 @@
     }
 
     /** The port it listens on. */
-    int port() {
+    public int port() {
         return frontend.port();
     }
 
@@ -180,7 +207,7 @@
     }
 
     boolean ready() {
-        return discovery.holdsList();
+        return discovery.holdsList() && !rehearsing;
     }
 
     /**
--- a/src/main/java/mulleinfront/proxy/Config.java
+++ b/src/main/java/mulleinfront/proxy/Config.java
@@ -46,7 +46,7 @@
         return parse(Files.readAllBytes(Path.of(path)));
     }
 
-    static Config parse(byte[] json) throws IOException {
+    public static Config parse(byte[] json) throws IOException {
         InetSocketAddress listen = null;
         InetSocketAddress discovery = null;
         String seed = null;
--- a/src/test/java/mulleinfront/LogicTest.java
+++ b/src/test/java/mulleinfront/LogicTest.java
@@ -35,6 +35,27 @@
         }
     }
 
+    @Test
+    void hostsAndKeysSeenOnceLeaveNothingBehind() throws Exception {
+        // Guards a day on which all is new all the time: also an end told of a host that was never listed.
+        Rig rig = new Rig(Rig.SAFE).endpoints(9);
+        for (int i = 0; i < 2000; i++) {
+            rig.balancer.onEndpoints(rig.now, Source.DELTA, List.of(new Endpoint("old" + i, 0, 0, 0,
+                    Availability.GONE, 1, 0), new Endpoint("new" + i, 0, 0, 0, Availability.READY, 1, 0)));
+            rig.serve(0, "key" + i);
+            rig.balancer.onEndpoints(rig.now, Source.DELTA,
+                    List.of(new Endpoint("new" + i, 0, 0, 0, Availability.GONE, 1, 0)));
+        }
+        for (java.lang.reflect.Field f : rig.balancer.getClass().getDeclaredFields()) {
+            f.setAccessible(true);
+            if (f.get(rig.balancer) instanceof Map<?, ?> m) {
+                assertTrue(m.size() <= 9, f.getName() + " holds " + m.size());
+            } else if (f.get(rig.balancer) instanceof java.util.Collection<?> c) {
+                assertTrue(c.size() <= 9, f.getName() + " holds " + c.size());
+            }
+        }
+    }
+
     @Test
     void aListChangeMovesOnlyTheKeysItMust() {
         Rig rig = new Rig(Rig.SAFE).endpoints(9);
