--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -21,7 +21,10 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
@@ -42,13 +45,25 @@
     private static final long REST_NANOS = 3_000_000;
     /** Interim answers (1xx) to one request; more of them is noise. */
     private static final int MOST_INTERIM = 16;
+    /** Fresh connections to one attempt, as long as they are reset before a request is written whole. */
+    private static final int MOST_FRESH = 3;
+    /**
+     * A host may close sooner than the settings say and not tell: a reset this soon after a request was
+     * written to a connection that had been idle for at least so long. Then less idleness is allowed, and
+     * slowly more again while it does no harm.
+     */
+    private static final long STALE_NANOS = 20_000_000;
+    private static final long LEAST_IDLE_NANOS = 100_000_000;
+    private static final double IDLE_CUT = 0.8;
+    private static final double IDLE_GROW = 1.1;
 
     /** Buffers count as heap, which is bounded once and for all, and need no pool at this traffic. */
     static final UnpooledByteBufAllocator BUFFERS = new UnpooledByteBufAllocator(false);
 
     private final EventLoop loop;
     private final Bootstrap bootstrap;
-    private final long idleNanos;
+    private final long mostIdleNanos;
+    private long idleNanos;
     private final int mostConnections;
     /** Idle connections to all hosts, the longest idle first. */
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
@@ -57,7 +72,8 @@
     Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int mostConnections) {
         this.loop = loop;
         this.mostConnections = mostConnections;
-        this.idleNanos = (long) (connIdleUs * 1000 * IDLE_PART);
+        this.mostIdleNanos = (long) (connIdleUs * 1000 * IDLE_PART);
+        this.idleNanos = mostIdleNanos;
         this.bootstrap = new Bootstrap().group(loop)
                 .option(ChannelOption.ALLOCATOR, BUFFERS)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -112,10 +128,10 @@
 
     /** The last used of the idle connections that have rested and show nothing; null if there is none. */
     private Connection rested(Host host) {
-        long before = System.nanoTime() - REST_NANOS;
+        long now = System.nanoTime();
         for (Connection c : List.copyOf(host.idle)) {
-            if (c.idleAt - before < 0) {
-                if (c.channel.untouched()) {
+            if (now - c.idleAt > REST_NANOS) {
+                if (now - c.idleAt <= idleNanos && c.channel.untouched()) {
                     c.leaveIdle();
                     return c;
                 }
@@ -125,6 +141,15 @@
         return null;
     }
 
+    /** What a reused connection taught: it was stale after this idleness, or still good. */
+    private void learnIdle(long idleFor, boolean stale) {
+        if (stale && idleFor > LEAST_IDLE_NANOS) {
+            idleNanos = Math.min(idleNanos, Math.max(LEAST_IDLE_NANOS, (long) (IDLE_CUT * idleFor)));
+        } else if (!stale && idleFor > idleNanos / 2) {
+            idleNanos = Math.min(mostIdleNanos, (long) (IDLE_GROW * idleNanos));
+        }
+    }
+
     final class Attempt {
         private final Host host;
         private final Call call;
@@ -135,6 +160,9 @@
         private ChannelFuture connecting;
         private Connection connection;
         private ChannelFuture written;
+        private int fresh;
+        private long idleFor;
+        private long writtenAt;
         private boolean over;
 
         private Attempt(Host host, Call call, long timeoutUs, BooleanSupplier wanted, End end) {
@@ -150,6 +178,7 @@
         void start() {
             Connection reused = rested(host);
             if (reused != null) {
+                idleFor = System.nanoTime() - reused.idleAt;
                 write(reused, true);
             } else {
                 connect();
@@ -160,15 +189,16 @@
             if (connections >= mostConnections && !idle.isEmpty()) {
                 idle.iterator().next().close();
             }
-            Connection fresh;
+            Connection made;
             try {
-                fresh = new Connection(host);
+                made = new Connection(host);
             } catch (ChannelException noDescriptor) {
                 finish(Outcome.CONNECT_ERROR, null);
                 return;
             }
-            ChannelFuture up = bootstrap.clone().channelFactory(() -> fresh.channel)
-                    .handler(fresh.pipeline()).connect(host.address);
+            ChannelFuture up = bootstrap.clone().channelFactory(() -> made.channel)
+                    .handler(made.pipeline()).connect(host.address);
+            fresh++;
             connections++;
             up.channel().closeFuture().addListener(f -> connections--);
             connecting = up;
@@ -176,7 +206,9 @@
                 if (over) {
                     up.channel().close();
                 } else if (f.isSuccess()) {
-                    write(fresh, false);
+                    write(made, false);
+                } else if (resetAtOnce(f.cause()) && fresh < MOST_FRESH) {
+                    connect();
                 } else {
                     finish(Outcome.CONNECT_ERROR, null);
                 }
@@ -185,8 +217,8 @@
 
         /**
          * The one place where a request goes out. While the connection came up the host may have been told
-         * to drain, or the request may have ended: then nothing is written, and that is known. A reused
-         * connection that does not take the whole of it says nothing of the host: a fresh one is tried.
+         * to drain, or the request may have ended: then nothing is written, and that is known. A connection
+         * that does not take the whole of it says little of the host: a fresh one is tried.
          */
         private void write(Connection c, boolean reused) {
             connection = c;
@@ -197,12 +229,14 @@
             }
             c.current = this;
             long leftMs = Math.max(1, (endNanos - System.nanoTime()) / 1_000_000);
+            writtenAt = System.nanoTime();
             written = c.channel.writeAndFlush(call.encode(leftMs));
             written.addListener(f -> {
                 if (f.isSuccess() || over) {
                     return;
                 }
-                if (reused) {
+                if (reused || fresh < MOST_FRESH) {
+                    idleFor = 0;
                     release();
                     connect();
                 } else {
@@ -223,9 +257,18 @@
 
         /** The connection is gone. Only if the write did not reach the last byte has it surely not run. */
         private void broken() {
+            if (idleFor > 0) {
+                learnIdle(idleFor, System.nanoTime() - writtenAt < STALE_NANOS);
+            }
             finish(written.isSuccess() ? Outcome.RESET : Outcome.CONNECT_ERROR, null);
         }
 
+        /** Whether something is there that would not have this connection: then the host is not away. */
+        private static boolean resetAtOnce(Throwable cause) {
+            return cause instanceof SocketException && !(cause instanceof ConnectException)
+                    && !(cause instanceof NoRouteToHostException);
+        }
+
         private void release() {
             if (connection != null) {
                 connection.current = null;
@@ -401,6 +444,9 @@
                 channel.close();
             }
             if (ended != null) {
+                if (ended.idleFor > 0) {
+                    learnIdle(ended.idleFor, false);
+                }
                 ended.connection = null;
                 ended.finish(how, what);
             }
--- a/src/test/java/mulleinfront/proxy/BadHostsTest.java
+++ b/src/test/java/mulleinfront/proxy/BadHostsTest.java
@@ -1,10 +1,19 @@
 package mulleinfront.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.proxy.Peers.Client;
 import mulleinfront.proxy.Peers.Message;
@@ -142,4 +151,65 @@
         assertEquals(Outcome.TIMED_OUT, outcome(seen::add, 50_000).outcome());
         Peers.next(seen, "the request").awaitEnd();
     }
+
+    @Test
+    void aHostThatDropsIdleConnectionsSoonerIsReachedAnew() throws Exception {
+        // Guards against one reset after another: what was stale once is not trusted for as long again.
+        Map<Socket, Long> served = new ConcurrentHashMap<>();
+        Server host = host(s -> {
+            Long last = served.put(s.socket(), System.nanoTime());
+            if (last != null && System.nanoTime() - last > TimeUnit.MILLISECONDS.toNanos(200)) {
+                s.reset();
+            } else {
+                s.served("x");
+            }
+        });
+        start("", Peers.host("s", host.address(), "in_service"));
+        module.onRequest = r -> module.actions.send(r.id(), "s", 0);
+        module.onEnd = e -> {
+            if (!e.requestDone()) {
+                module.actions.fail(e.requestId());
+            }
+        };
+        Client client = client();
+        assertEquals(200, client.unsafe("id1", 20_000).read().status());
+        Thread.sleep(400);
+        assertEquals(502, client.unsafe("id2", 20_000).read().status(), "the first to be dropped");
+        assertEquals(200, client.unsafe("id3", 20_000).read().status());
+        Thread.sleep(800);
+        assertEquals(200, client.unsafe("id4", 20_000).read().status(), "on a fresh one");
+    }
+
+    @Test
+    void aConnectionResetAtOnceIsNoHostThatIsAway() throws Exception {
+        // Guards against shunning a host that is up: a few resets among its new connections say little.
+        AtomicInteger accepted = new AtomicInteger();
+        try (ServerSocket listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Thread resets = new Thread(() -> {
+                try {
+                    while (true) {
+                        Socket s = listening.accept();
+                        accepted.incrementAndGet();
+                        s.setSoLinger(true, 0);
+                        s.close();
+                    }
+                } catch (IOException e) {
+                    // closed: the test is over
+                }
+            });
+            resets.setDaemon(true);
+            resets.start();
+            start("", Peers.host("s", "127.0.0.1:" + listening.getLocalPort(), "in_service"));
+            module.onRequest = r -> module.actions.send(r.id(), "s", 0);
+            module.onEnd = e -> module.actions.fail(e.requestId());
+            Client client = client();
+            for (int i = 0; i < 20; i++) {
+                int before = accepted.get();
+                assertEquals(502, client.unsafe("id" + i, 20_000).read().status());
+                Outcome how = Peers.next(module.ends, "the end").outcome();
+                // Which of the two it is depends on when the reset comes; only the third in a row tells.
+                assertTrue(how == Outcome.RESET || accepted.get() - before >= 3, how + " at once");
+            }
+        }
+    }
 }
