The life of a request moves to mulleinfront.core, without I/O; layers held by ArchUnit

Need: what a client proxy knows of open requests, attempts, guards and "may have run" sat in ClientProxy among Netty types and the system clock, so no incident could be replayed and no second wire could share it.

Change: mulleinfront.core holds Core (open requests, attempts, guard, last word, refusal or failure, the queue of events and actions) on three interfaces: Time, Wire (an attempt has one end, told once) and Caller (one final answer). The core also keeps which hosts the lists told so far call ready, and asks for it right before the first byte of an attempt. Changes older than the list held are passed over: five lists told out of order undid a drain before. LayersTest holds the direction and is shown to fail on the socket wire.

--- /dev/null
+++ b/src/main/java/mulleinfront/core/Caller.java
@@ -0,0 +1,30 @@
+package mulleinfront.core;
+
+/**
+ * Whoever waits for the final answer of one request. It is told exactly one of {@link #served},
+ * {@link #refused} and {@link #failed}, unless it has said {@link Core#gone} before.
+ *
+ * @param <Q> a request as the wire carries it
+ * @param <A> an answer as the wire brings it
+ */
+public interface Caller<Q, A> {
+    /** The request is open: told before any answer, and not at all if it is refused before it opens. */
+    void opened(Core.Exchange<Q, A> exchange);
+
+    /** A host's own answer. */
+    void served(A answer);
+
+    /**
+     * Another try is harmless: no attempt has run, or the request may run any number of times.
+     *
+     * @param retryAfterUs when to come back, microseconds; 0: no advice
+     */
+    void refused(long retryAfterUs);
+
+    /**
+     * Nothing is promised of the effect.
+     *
+     * @param timeUp whether the time was up, rather than all attempts spent
+     */
+    void failed(boolean timeUp);
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -0,0 +1,354 @@
+package mulleinfront.core;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import mulleinfront.Balancer;
+import mulleinfront.Balancer.AttemptEnd;
+import mulleinfront.Balancer.Availability;
+import mulleinfront.Balancer.DedupScope;
+import mulleinfront.Balancer.Effect;
+import mulleinfront.Balancer.Endpoint;
+import mulleinfront.Balancer.Outcome;
+import mulleinfront.Balancer.Request;
+import mulleinfront.Balancer.RequestClass;
+import mulleinfront.Balancer.Settings;
+import mulleinfront.Balancer.Source;
+
+/**
+ * The life of requests in one client proxy. Events from the wires become the module's events, its decisions
+ * become attempts and final answers, and what must hold whatever it decides is held here. All calls come on
+ * one thread.
+ *
+ * @param <Q> a request as the wire carries it
+ * @param <A> an answer as the wire brings it
+ */
+public final class Core<Q, A> implements Balancer.Actions {
+    /** We are done this long before the client's time is up: the way back and a busy core take time. */
+    private static final long MARGIN_US = 25_000;
+    /** What the module is told ends this much earlier still, so that its own last word comes first. */
+    private static final long LAST_WORD_US = 10_000;
+
+    private final Settings settings;
+    private final Time time;
+    private final Wire<Q, A> wire;
+    private final Consumer<Throwable> defects;
+    private final Map<String, Exchange<Q, A>> open = new HashMap<>();
+    /** Hosts that the lists told so far say are ready, whether or not the module has taken note of it. */
+    private final Set<String> ready = new HashSet<>();
+    /** Events for the module and its actions, in order; see {@link #run}. */
+    private final ArrayDeque<Runnable> work = new ArrayDeque<>();
+    private boolean working;
+    private Balancer balancer;
+    private Time.Timer wake;
+
+    /** Makes the module; a test's own can do what the real one never would. */
+    public interface Maker {
+        /** The arguments are those of {@link Balancer#create}. */
+        Balancer create(Settings settings, long seed, long now, Balancer.Actions actions);
+    }
+
+    /** A request taken and not yet forgotten. */
+    public static final class Exchange<Q, A> {
+        private final Caller<Q, A> caller;
+        private final Request request;
+        private final RequestClass type;
+        private final Q call;
+        private final long endAt;
+        private Time.Timer guard;
+        private Wire.Attempt out;
+        private int outNumber;
+        private int attempts;
+        private boolean mayHaveRun;
+        private boolean answered;
+
+        private Exchange(Caller<Q, A> caller, Request request, RequestClass type, Q call, long endAt) {
+            this.caller = caller;
+            this.request = request;
+            this.type = type;
+            this.call = call;
+            this.endAt = endAt;
+        }
+    }
+
+    /**
+     * A core that has no module yet.
+     *
+     * @param settings what the deployment states
+     * @param time the clock and timers of the owning thread
+     * @param wire reaches hosts and discovery
+     * @param defects told of what an event or action threw; the request that it was about keeps its guard
+     */
+    public Core(Settings settings, Time time, Wire<Q, A> wire, Consumer<Throwable> defects) {
+        this.settings = settings;
+        this.time = time;
+        this.wire = wire;
+        this.defects = defects;
+    }
+
+    /** Makes the module; to be called once, before any event, and followed by {@link #perform}. */
+    public void begin(Maker maker, long seed) {
+        balancer = maker.create(settings, seed, time.now(), this);
+    }
+
+    /**
+     * Runs an event or an action now, or after the one that is running. The module makes its decisions
+     * inside an event call, and a wire may have news inside an action: neither may re-enter the module.
+     * A failure ends the one task; the request it was about still has its guard.
+     */
+    public void run(Runnable task) {
+        work.add(task);
+        perform();
+    }
+
+    /** Carries out what waits, unless that is being done. */
+    public void perform() {
+        if (working) {
+            return;
+        }
+        working = true;
+        try {
+            for (Runnable next; (next = work.poll()) != null;) {
+                perform(next);
+            }
+        } finally {
+            working = false;
+        }
+    }
+
+    private void perform(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | LinkageError e) {
+            defects.accept(e);
+        }
+    }
+
+    // ---- discovery -----------------------------------------------------------------------------------
+
+    /**
+     * A list or changes came. What it says of readiness holds from this call on, also for attempts whose
+     * decision was made before; the module hears of it in its turn.
+     */
+    public void listed(Source source, List<Endpoint> endpoints) {
+        if (source != Source.DELTA) {
+            ready.clear();
+        }
+        for (Endpoint e : endpoints) {
+            if (e.availability() == Availability.READY) {
+                ready.add(e.id());
+            } else {
+                ready.remove(e.id());
+            }
+        }
+        run(() -> balancer.onEndpoints(time.now(), source, endpoints));
+    }
+
+    /** A call to discovery failed, or its watch ended; the list held stays in force. */
+    public void discoveryFailed() {
+        run(() -> balancer.onDiscoveryFailed(time.now()));
+    }
+
+    // ---- callers -------------------------------------------------------------------------------------
+
+    /** Whether a request of this id is open: its id may not be used again until that is over. */
+    public boolean holds(String requestId) {
+        return open.containsKey(requestId);
+    }
+
+    /** Requests that are held: open ones, and those whose end the module has not heard of yet. */
+    public int held() {
+        return open.size();
+    }
+
+    /**
+     * Takes a request; its caller has one final answer in time, whatever the module does.
+     *
+     * @param id not one that is open, see {@link #holds}
+     * @param classIndex position in the settings' classes
+     * @param key what the request is about, or null
+     * @param deadlineMs how long the client waits, milliseconds from {@code at}, at least 1
+     * @param at when the request had come in whole
+     * @param expectedUs work it is expected to need, microseconds; 0 if unknown
+     * @param tenant position in the settings' tenants; ignored when there are none
+     * @param repeat whether the client marks it as a repeat
+     */
+    public void take(Caller<Q, A> caller, String id, int classIndex, String key, long deadlineMs, long at,
+            long expectedUs, int tenant, boolean repeat, Q call) {
+        RequestClass type = settings.classes().get(classIndex);
+        // Nobody waits longer than the class's own patience, so neither does a drain.
+        long deadlineUs = Math.min(deadlineMs, type.deadlineUs() / 1000 + 1) * 1000;
+        long patience = deadlineUs - Math.min(MARGIN_US, deadlineUs / 4);
+        long budget = patience - Math.min(LAST_WORD_US, deadlineUs / 8) - (time.now() - at);
+        if (budget <= 0) {
+            caller.refused(comeBackUs());
+            return;
+        }
+        Request request = new Request(id, classIndex, key, budget, expectedUs, tenant, repeat);
+        Exchange<Q, A> x = new Exchange<>(caller, request, type, call, time.now() + budget);
+        open.put(id, x);
+        x.guard = time.after(at + patience - time.now(), () -> timeUp(x));
+        caller.opened(x);
+        run(() -> balancer.onRequest(time.now(), x.request));
+    }
+
+    private long comeBackUs() {
+        return settings.limits().maxRetryAfterUs();
+    }
+
+    /** The caller has gone: it is told nothing, and what is out for it is called off. */
+    public void gone(Exchange<Q, A> x) {
+        over(x);
+        tellGone(x);
+    }
+
+    /** Whatever the module does, the caller has an answer in time, and a refusal only if that is true. */
+    private void timeUp(Exchange<Q, A> x) {
+        if (!x.answered) {
+            over(x);
+            boolean harmless = x.type.effect() == Effect.RETRYABLE || !x.mayHaveRun && x.out == null
+                    || x.type.effect() == Effect.DEDUP && x.type.scope() == DedupScope.ALL;
+            if (harmless) {
+                x.caller.refused(comeBackUs());
+            } else {
+                x.caller.failed(true);
+            }
+            tellGone(x);
+        }
+    }
+
+    private void over(Exchange<Q, A> x) {
+        x.answered = true;
+        x.guard.cancel();
+    }
+
+    private void tellGone(Exchange<Q, A> x) {
+        run(() -> {
+            try {
+                balancer.onRequestGone(time.now(), x.request.id());
+            } finally {
+                forget(x);
+            }
+        });
+    }
+
+    /** After the actions already decided: they may still name the request. */
+    private void forget(Exchange<Q, A> x) {
+        work.add(() -> open.remove(x.request.id(), x));
+    }
+
+    // ---- the module's decisions ----------------------------------------------------------------------
+
+    @Override
+    public void send(String requestId, String endpointId, long timeoutUs) {
+        work.add(() -> {
+            Exchange<Q, A> x = open.get(requestId);
+            if (x != null) {
+                attempt(x, endpointId, timeoutUs);
+            }
+        });
+    }
+
+    private void attempt(Exchange<Q, A> x, String hostId, long timeoutUs) {
+        int number = x.attempts++;
+        long sentAt = time.now();
+        long left = x.endAt - sentAt;
+        boolean vain = x.answered || left <= 0 || timeoutUs < 0 || x.out != null
+                || number >= settings.limits().maxAttempts();
+        Wire.Attempt made = vain ? null : wire.attempt(x.request.id(), number, hostId, x.call,
+                timeoutUs == 0 ? left : Math.min(left, timeoutUs),
+                () -> !x.answered && ready.contains(hostId),
+                (outcome, answer) -> attemptEnded(x, number, sentAt, outcome, answer));
+        if (made == null) {
+            ended(x, number, sentAt, Outcome.IGNORED);
+            return;
+        }
+        x.outNumber = number;
+        x.out = made;
+        made.start();
+    }
+
+    private void attemptEnded(Exchange<Q, A> x, int number, long sentAt, Outcome outcome, A answer) {
+        x.out = null;
+        x.mayHaveRun |= !outcome.neverRan();
+        if (outcome == Outcome.OK && !x.answered) {
+            over(x);
+            x.caller.served(answer);
+            run(() -> forget(x));
+        }
+        ended(x, number, sentAt, outcome);
+    }
+
+    private void ended(Exchange<Q, A> x, int number, long sentAt, Outcome outcome) {
+        boolean done = x.answered;
+        run(() -> balancer.onAttemptEnded(time.now(),
+                new AttemptEnd(x.request.id(), number, outcome, done, time.now() - sentAt)));
+    }
+
+    @Override
+    public void cancel(String requestId, int number) {
+        work.add(() -> {
+            Exchange<Q, A> x = open.get(requestId);
+            if (x != null && x.out != null && number == x.outNumber) {
+                x.out.cancel();
+            }
+        });
+    }
+
+    @Override
+    public void refuse(String requestId, long retryAfterUs) {
+        work.add(() -> {
+            Exchange<Q, A> x = conclude(requestId);
+            if (x != null) {
+                x.caller.refused(retryAfterUs);
+            }
+        });
+    }
+
+    @Override
+    public void fail(String requestId) {
+        work.add(() -> {
+            Exchange<Q, A> x = conclude(requestId);
+            if (x != null) {
+                x.caller.failed(false);
+            }
+        });
+    }
+
+    /** The request that a last word is for; null if it has had one. */
+    private Exchange<Q, A> conclude(String requestId) {
+        Exchange<Q, A> x = open.get(requestId);
+        if (x == null || x.answered) {
+            return null;
+        }
+        over(x);
+        forget(x);
+        return x;
+    }
+
+    @Override
+    public void probe(String endpointId) {
+        work.add(() -> {
+            long sentAt = time.now();
+            wire.probe(endpointId, (outcome, answer) -> run(
+                    () -> balancer.onProbeEnded(time.now(), endpointId, outcome, time.now() - sentAt)));
+        });
+    }
+
+    @Override
+    public void subscribe() {
+        work.add(wire::subscribe);
+    }
+
+    @Override
+    public void wakeAt(long atUs) {
+        if (wake != null) {
+            wake.cancel();
+        }
+        wake = time.after(atUs - time.now(), () -> run(() -> balancer.onTimer(time.now())));
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -0,0 +1,52 @@
+package mulleinfront.core;
+
+import java.util.function.BooleanSupplier;
+import mulleinfront.Balancer.Outcome;
+
+/**
+ * How a core reaches hosts and discovery. One core may stand on any wire: sockets, or an emulated network.
+ *
+ * @param <Q> a request as the wire carries it
+ * @param <A> an answer as the wire brings it
+ */
+public interface Wire<Q, A> {
+    /** Told once how an attempt or a probe ended. */
+    interface End<A> {
+        /**
+         * @param outcome what can be vouched for: {@link Outcome#neverRan} only if that is known
+         * @param answer the host's answer if the outcome is {@link Outcome#OK}, else null
+         */
+        void ended(Outcome outcome, A answer);
+    }
+
+    /** An attempt that was made ready; it sends nothing before {@link #start}. */
+    interface Attempt {
+        /** Begins; the end may be told before this returns. */
+        void start();
+
+        /** Stops waiting, which ends the attempt at once; no effect if it has ended. */
+        void cancel();
+    }
+
+    /**
+     * Makes an attempt ready.
+     *
+     * @param requestId the request it is for
+     * @param number the attempt's number, from 0
+     * @param hostId a host of the list last told
+     * @param request what to send
+     * @param timeoutUs time from now until the attempt ends by itself, microseconds, above 0
+     * @param wanted asked right before the first byte leaves: if false nothing is sent, and the attempt has
+     *        ended as {@link Outcome#IGNORED}
+     * @param end told once
+     * @return the attempt, or null if the wire knows no such host
+     */
+    Attempt attempt(String requestId, int number, String hostId, Q request, long timeoutUs,
+            BooleanSupplier wanted, End<A> end);
+
+    /** Asks a host how it is; the end is told once, as {@link Outcome#IGNORED} if there is no such host. */
+    void probe(String hostId, End<A> end);
+
+    /** Asks discovery for the list and for every change from here on. */
+    void subscribe();
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/Chance.java
@@ -0,0 +1,102 @@
+package mulleinfront.emulator;
+
+import java.util.SplittableRandom;
+
+/**
+ * All chance in a world, from its one seed: each concern draws from a stream of its own name, so that a fault
+ * more or a server less does not shift the draws of the others. Logarithms are {@link StrictMath}'s, which
+ * gives the same bits on every machine.
+ */
+public final class Chance {
+    private final SplittableRandom random;
+
+    private Chance(long seed) {
+        this.random = new SplittableRandom(seed);
+    }
+
+    /** The stream of a name under a seed. */
+    public static Chance of(long seed, String name) {
+        long h = 0xcbf29ce484222325L ^ seed * 0x9e3779b97f4a7c15L;
+        for (int i = 0; i < name.length(); i++) {
+            h = (h ^ name.charAt(i)) * 0x100000001b3L;
+        }
+        return new Chance(mix(h));
+    }
+
+    private static long mix(long z) {
+        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+        return z ^ z >>> 31;
+    }
+
+    public long nextLong() {
+        return random.nextLong();
+    }
+
+    /** In [0, 1). */
+    public double unit() {
+        return random.nextDouble();
+    }
+
+    public boolean happens(double probability) {
+        return probability > 0 && (probability >= 1 || random.nextDouble() < probability);
+    }
+
+    /** In [0, bound). */
+    public int below(int bound) {
+        return random.nextInt(bound);
+    }
+
+    public double between(double low, double high) {
+        return low + (high - low) * random.nextDouble();
+    }
+
+    public double exponential(double mean) {
+        return -mean * StrictMath.log(1 - random.nextDouble());
+    }
+
+    public double normal() {
+        double u = 1 - random.nextDouble();
+        return StrictMath.sqrt(-2 * StrictMath.log(u)) * StrictMath.cos(2 * Math.PI * random.nextDouble());
+    }
+
+    /** Of the given mean and coefficient of variation. */
+    public double lognormal(double mean, double cv) {
+        double s2 = StrictMath.log(1 + cv * cv);
+        return mean * StrictMath.exp(StrictMath.sqrt(s2) * normal() - s2 / 2);
+    }
+
+    /** The place that a draw falls on, by weights that are already summed up: the last is their sum. */
+    public int place(double[] summed) {
+        double at = random.nextDouble() * summed[summed.length - 1];
+        int low = 0;
+        int high = summed.length - 1;
+        while (low < high) {
+            int mid = low + high >>> 1;
+            if (summed[mid] > at) {
+                high = mid;
+            } else {
+                low = mid + 1;
+            }
+        }
+        return low;
+    }
+
+    /** Sums weights up for {@link #place}. */
+    public static double[] sum(double[] weights) {
+        double[] summed = weights.clone();
+        for (int i = 1; i < summed.length; i++) {
+            summed[i] += summed[i - 1];
+        }
+        return summed;
+    }
+
+    /** Weights of the places 1 to n by Zipf's law: the k-th has 1 / k^exponent. */
+    public static double[] zipf(int n, double exponent) {
+        double[] weights = new double[n];
+        for (int k = 0; k < n; k++) {
+            weights[k] = StrictMath.pow(k + 1, -exponent);
+        }
+        return weights;
+    }
+}
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -124,8 +124,14 @@
         }
     }
 
-    /** Takes over a list, first for the sockets and then for the module. */
+    /**
+     * Takes over a list, first for the sockets and then for the module. Changes older than what is held tell
+     * nothing new and would undo a drain; a whole list is always the latest word of whoever sends it.
+     */
     void take(Listing listing, Source source) {
+        if (source == Source.DELTA && listing.version() < version) {
+            return;
+        }
         version = listing.version();
         List<Endpoint> endpoints = new ArrayList<>();
         Map<String, Upstream.Host> left = source == Source.DELTA ? new HashMap<>() : new HashMap<>(hosts);
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -34,6 +34,8 @@
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.concurrent.TimeUnit;
+import mulleinfront.core.Caller;
+import mulleinfront.core.Core;
 
 /**
  * What the application connects to. It reads requests, hands those for hosts to the {@link ClientProxy}
@@ -142,7 +144,8 @@
     }
 
     /** One connection of the application. */
-    final class Client extends SimpleChannelInboundHandler<HttpObject> {
+    final class Client extends SimpleChannelInboundHandler<HttpObject>
+            implements Caller<Call, Upstream.Answer> {
         private final Channel channel;
         private final ArrayDeque<Ahead> ahead = new ArrayDeque<>();
         private int aheadBytes;
@@ -157,7 +160,7 @@
         private boolean peeking;
         private boolean keepAlive;
         private long quietAt;
-        private ClientProxy.Exchange exchange;
+        private Core.Exchange<Call, Upstream.Answer> exchange;
 
         /** A request as read, or what is to be said of one that can't be. */
         private record Ahead(HttpRequest head, byte[] body, long at, HttpResponseStatus error) {}
@@ -306,10 +309,26 @@
         }
 
         /** The request at hand is open until {@link #answer}. */
-        void opened(ClientProxy.Exchange exchange) {
+        @Override
+        public void opened(Core.Exchange<Call, Upstream.Answer> exchange) {
             this.exchange = exchange;
         }
 
+        @Override
+        public void served(Upstream.Answer answer) {
+            answer(HttpResponseStatus.OK, answer, 0);
+        }
+
+        @Override
+        public void refused(long retryAfterUs) {
+            answer(HttpResponseStatus.SERVICE_UNAVAILABLE, ClientProxy.NO_BODY, retryAfterUs);
+        }
+
+        @Override
+        public void failed(boolean timeUp) {
+            answer(timeUp ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY);
+        }
+
         void answer(HttpResponseStatus status) {
             answer(status, ClientProxy.NO_BODY, 0);
         }
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -32,6 +32,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import mulleinfront.Balancer.Outcome;
+import mulleinfront.core.Wire;
 
 /**
  * Connections to hosts, one request at a time on each, and the attempts made on them. It resends nothing:
@@ -105,17 +106,12 @@
     /** A host's 200. */
     record Answer(byte[] body, String contentType) {}
 
-    /** Told once how an attempt ended; {@code answer} is null unless it was served. */
-    interface End {
-        void ended(Outcome outcome, Answer answer);
-    }
-
     /**
      * An attempt, to be started at once.
      *
-     * @param wanted whether the request still waits for an answer
+     * @param wanted whether it may still be sent
      */
-    Attempt attempt(Host host, Call call, long timeoutUs, BooleanSupplier wanted, End end) {
+    Attempt attempt(Host host, Call call, long timeoutUs, BooleanSupplier wanted, Wire.End<Answer> end) {
         return new Attempt(host, call, timeoutUs, wanted, end);
     }
 
@@ -150,12 +146,12 @@
         }
     }
 
-    final class Attempt {
+    final class Attempt implements Wire.Attempt {
         private final Host host;
         private final Call call;
         private final long endNanos;
         private final BooleanSupplier wanted;
-        private final End end;
+        private final Wire.End<Answer> end;
         private final ScheduledFuture<?> timer;
         private ChannelFuture connecting;
         private Connection connection;
@@ -165,7 +161,7 @@
         private long writtenAt;
         private boolean over;
 
-        private Attempt(Host host, Call call, long timeoutUs, BooleanSupplier wanted, End end) {
+        private Attempt(Host host, Call call, long timeoutUs, BooleanSupplier wanted, Wire.End<Answer> end) {
             this.host = host;
             this.call = call;
             this.wanted = wanted;
@@ -174,8 +170,8 @@
             this.timer = loop.schedule(() -> abandon(Outcome.TIMED_OUT), timeoutUs, TimeUnit.MICROSECONDS);
         }
 
-        /** The end may be told before this returns. */
-        void start() {
+        @Override
+        public void start() {
             Connection reused = rested(host);
             if (reused != null) {
                 idleFor = System.nanoTime() - reused.idleAt;
@@ -246,7 +242,8 @@
         }
 
         /** Stops waiting: the connection goes with the attempt, so that the host stops too. */
-        void cancel() {
+        @Override
+        public void cancel() {
             abandon(Outcome.CANCELED);
         }
 
--- /dev/null
+++ b/src/test/java/mulleinfront/LayersTest.java
@@ -0,0 +1,79 @@
+package mulleinfront;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import org.junit.jupiter.api.Test;
+
+/** The layers, each importing only downward: module, core, wires, emulator, command line. */
+class LayersTest {
+    private static final JavaClasses MAIN = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("mulleinfront");
+
+    /** The module: the root package without the command line's entry, which is put there by the platform. */
+    private static final DescribedPredicate<JavaClass> MODULE = DescribedPredicate.describe("the module",
+            c -> c.getPackageName().equals("mulleinfront") && !c.getFullName().startsWith("mulleinfront.Main"));
+
+    private static ArchRule only(String layer, String... allowed) {
+        return classes().that().resideInAPackage(layer).should().onlyDependOnClassesThat(
+                MODULE.or(JavaClass.Predicates.resideInAnyPackage(allowed)));
+    }
+
+    /** No I/O, thread or system clock, by packages and by the classes that lie in {@code java.lang}. */
+    private static ArchRule withoutIo(DescribedPredicate<JavaClass> layer) {
+        return noClasses().that(layer).should().dependOnClassesThat(
+                JavaClass.Predicates.resideInAnyPackage("java.io..", "java.net..", "java.nio..", "java.time..",
+                        "java.util.concurrent..", "io.netty..").or(DescribedPredicate.describe("threads or time",
+                        c -> c.isEquivalentTo(System.class) || c.isEquivalentTo(Thread.class)
+                                || c.isEquivalentTo(ProcessHandle.class) || c.isEquivalentTo(Runtime.class)
+                                || c.isEquivalentTo(java.util.Timer.class))));
+    }
+
+    @Test
+    void theModuleKnowsNothingButItself() {
+        classes().that(MODULE).should().onlyDependOnClassesThat(MODULE.or(
+                JavaClass.Predicates.resideInAnyPackage("java.lang..", "java.util", "java.util.function",
+                        "java.util.stream", "com.dynatrace.hash4j.."))).check(MAIN);
+        withoutIo(MODULE).check(MAIN);
+    }
+
+    @Test
+    void theCoreKnowsTheModuleAndNoIo() {
+        only("mulleinfront.core", "mulleinfront.core", "java.lang..", "java.util", "java.util.function")
+                .check(MAIN);
+        withoutIo(JavaClass.Predicates.resideInAPackage("mulleinfront.core")).check(MAIN);
+    }
+
+    @Test
+    void theEmulatorStandsOnTheCoreAndNoWire() {
+        noClasses().that().resideInAPackage("mulleinfront.emulator..").should().dependOnClassesThat()
+                .resideInAnyPackage("mulleinfront.proxy..", "mulleinfront.benchlink..", "mulleinfront.cli..",
+                        "io.netty..", "java.net..", "picocli..").check(MAIN);
+    }
+
+    @Test
+    void nothingBelowTheCommandLineKnowsIt() {
+        noClasses().that().resideInAnyPackage("mulleinfront.core..", "mulleinfront.proxy..",
+                "mulleinfront.benchlink..").should().dependOnClassesThat()
+                .resideInAnyPackage("mulleinfront.cli..", "mulleinfront.emulator..", "picocli..", "org.tomlj..")
+                .check(MAIN);
+    }
+
+    @Test
+    void theseChecksCanFail() {
+        // The socket wire does what the core may not: the same rules on it must find that.
+        ArchRule wrong = only("mulleinfront.proxy", "mulleinfront.core", "mulleinfront.proxy", "java..");
+        AssertionError found = assertThrows(AssertionError.class, () -> wrong.check(MAIN));
+        assertTrue(found.getMessage().contains("io.netty"), found.getMessage());
+        assertThrows(AssertionError.class, () -> withoutIo(
+                JavaClass.Predicates.resideInAPackage("mulleinfront.proxy")).check(MAIN));
+    }
+}
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -72,6 +72,21 @@
         Peers.next(after.seen, "the second request").awaitEnd();
     }
 
+    @Test
+    void changesOlderThanWhatIsHeldUndoNoDrain() throws Exception {
+        // Guards rule 3 against a list that comes late: five told out of order leave the newest in force.
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        Seen watch = discovery.asked();
+        for (int version : new int[] {3, 6, 4, 2, 5}) {
+            Discovery.push(watch, Peers.list(version, false,
+                    Peers.host("s", "127.0.0.1:1", version == 6 ? "terminating" : "in_service")));
+        }
+        Discovery.push(watch, Peers.list(7, false, Peers.host("t", "127.0.0.1:1", "in_service")));
+        assertEquals("DELTA [s 1 READY]", Peers.next(module.lists, "version 3"));
+        assertEquals("DELTA [s 1 DRAINING]", Peers.next(module.lists, "version 6"));
+        assertEquals("DELTA [t 1 READY]", Peers.next(module.lists, "version 7, after three older ones"));
+    }
+
     @Test
     void aSilentWatchIsAFailedCall() throws Exception {
         start("", Peers.host("s", "127.0.0.1:1", "in_service"));
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -13,11 +13,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import mulleinfront.proxy.Peers.Client;
 import mulleinfront.proxy.Peers.Discovery;
 import mulleinfront.proxy.Peers.Message;
@@ -72,12 +74,18 @@
         }
     }
 
+    /** The class path less what only tests bring: Netty would log by it, and say so. */
+    private static String programsOwn() {
+        return Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+                .filter(entry -> !entry.contains("slf4j")).collect(Collectors.joining(File.pathSeparator));
+    }
+
     private void launch(String config, ProcessBuilder.Redirect errors) throws IOException {
         Path file = folder.resolve("config.json");
         Files.writeString(file, config);
         ProcessBuilder builder = new ProcessBuilder(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-cp", System.getProperty("java.class.path"), "mulleinfront.Main", "serve")
+                "-cp", programsOwn(), "mulleinfront.Main", "serve")
                 .redirectError(errors);
         builder.environment().put("NODE_CONFIG", file.toString());
         process = builder.start();
