--- a/src/main/java/mulleinfront/Main.java
+++ b/src/main/java/mulleinfront/Main.java
@@ -17,7 +17,7 @@
 
 /**
  * Command line entry: {@code java -jar mulleinfront.jar serve}, or {@code benchlink} for the bench;
- * {@code rehearse} is for the build.
+ * {@code rehearse} is for the build. All other words are {@link mulleinfront.cli.CommandLine}'s.
  */
 public final class Main {
     private Main() {}
@@ -26,7 +26,7 @@
      * Starts the client proxy that {@code NODE_CONFIG} describes, or the bench adapter on standard input
      * and output.
      *
-     * @param args exactly one word, {@code serve}, {@code benchlink} or {@code rehearse}
+     * @param args one word, {@code serve}, {@code benchlink} or {@code rehearse}, or a command line
      */
     public static void main(String[] args) {
         String mode = args.length == 1 ? args[0] : "";
@@ -35,10 +35,8 @@
                 case "benchlink" -> Adapter.run(System.in, System.out);
                 case "serve" -> serve();
                 case "rehearse" -> rehearse();
-                default -> {
-                    System.err.println("usage: java -jar mulleinfront.jar serve|benchlink|rehearse");
-                    System.exit(2);
-                }
+                // What is not deployed loads more, so nothing of it is named above.
+                default -> System.exit(mulleinfront.cli.CommandLine.run(args));
             }
         } catch (Exception e) {
             System.err.println("mulleinfront: " + Adapter.plain(e));
--- /dev/null
+++ b/src/main/java/mulleinfront/cli/Emulate.java
@@ -0,0 +1,146 @@
+package mulleinfront.cli;
+
+import java.io.BufferedOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import mulleinfront.emulator.ReportWriter;
+import mulleinfront.emulator.Scenario;
+import mulleinfront.emulator.ScenarioException;
+import mulleinfront.emulator.ScenarioReader;
+import mulleinfront.emulator.Sweep;
+import mulleinfront.emulator.World;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** {@code emulate}: plays a scenario on virtual time, under one seed or many. */
+@Command(name = "emulate", mixinStandardHelpOptions = true,
+        description = "Plays a scenario on virtual time and prints what clients had of it.",
+        footer = {"", "Exit codes: 0 the rules were kept, 2 bad input (one line on standard error), 3 a rule was"
+            + " broken."})
+final class Emulate implements Callable<Integer> {
+    private static final int WORST = 5;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Parameters(paramLabel = "SCENARIO", description = "a scenario file, such as scenarios/calm.toml")
+    private Path file;
+
+    @Option(names = "--seed", paramLabel = "N", description = "the one source of chance (default ${DEFAULT-VALUE})",
+            defaultValue = "1")
+    private long seed;
+
+    @Option(names = "--trace", paramLabel = "FILE", description = "writes down each event and decision, a line each")
+    private Path trace;
+
+    @Option(names = "--json", paramLabel = "FILE", description = "writes the report as JSON too")
+    private Path json;
+
+    @Option(names = "--seeds", paramLabel = "A..B", description = "plays all these seeds and prints the mean, the"
+            + " worst, and how to replay the first broken rule")
+    private String seeds;
+
+    @Option(names = "--jobs", paramLabel = "N", description = "worlds at once with --seeds (default: one a core)")
+    private int jobs = Runtime.getRuntime().availableProcessors();
+
+    @Override
+    public Integer call() throws ScenarioException, IOException, InterruptedException {
+        Scenario scenario = ScenarioReader.read(file);
+        if (seeds == null) {
+            return one(scenario);
+        }
+        if (trace != null || json != null) {
+            throw new ParameterException(spec.commandLine(), "--trace and --json are for one seed, not for --seeds");
+        }
+        return sweep(scenario);
+    }
+
+    private int one(Scenario scenario) throws IOException, ScenarioException {
+        World.Result result;
+        try (OutputStream to = trace == null ? null : open(trace)) {
+            result = World.of(scenario, seed, to).play();
+        }
+        if (json != null) {
+            try (OutputStream to = open(json)) {
+                ReportWriter.json(result, to);
+            }
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        out.print(ReportWriter.text(result));
+        out.flush();
+        return result.breachCount() == 0 ? CommandLine.KEPT : CommandLine.RULE_BROKEN;
+    }
+
+    private static OutputStream open(Path path) throws ScenarioException {
+        try {
+            return new BufferedOutputStream(Files.newOutputStream(path), 1 << 16);
+        } catch (IOException e) {
+            throw new ScenarioException(path + ": can't be written (" + e.getMessage() + ")");
+        }
+    }
+
+    private int sweep(Scenario scenario) throws InterruptedException {
+        long[] range = range();
+        if (jobs < 1) {
+            throw new ParameterException(spec.commandLine(), "--jobs must be 1 or more");
+        }
+        long count = range[1] - range[0] + 1;
+        boolean terminal = System.console() != null;
+        PrintWriter err = spec.commandLine().getErr();
+        long[] done = {0, 0};
+        List<Sweep.Played> all = Sweep.play(scenario, range[0], range[1], jobs, played -> {
+            done[0]++;
+            done[1] += played.breaches() > 0 ? 1 : 0;
+            if (terminal) {
+                err.printf(Locale.ROOT, "\r%s: %d of %d seeds, %d with a broken rule ", scenario.name(), done[0],
+                        count, done[1]);
+                err.flush();
+            }
+        });
+        if (terminal) {
+            err.println();
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        out.printf(Locale.ROOT, "%s, seeds %d..%d: mean service %.4f%n", scenario.name(), range[0], range[1],
+                Sweep.mean(all));
+        StringBuilder worst = new StringBuilder();
+        for (Sweep.Played p : Sweep.worst(all, WORST)) {
+            worst.append(String.format(Locale.ROOT, " %d (%.4f)", p.seed(), p.service()));
+        }
+        out.printf(Locale.ROOT, "worst seeds:%s%n", worst);
+        List<Sweep.Played> broken = all.stream().filter(p -> p.breaches() > 0).toList();
+        if (broken.isEmpty()) {
+            out.println("rules: all four kept under every seed");
+        } else {
+            out.printf(Locale.ROOT, "rules: broken under %d of %d seeds; the first:%n  %s%n  replay: emulate %s"
+                    + " --seed %d%n", broken.size(), count, broken.get(0).breach(), file, broken.get(0).seed());
+        }
+        out.flush();
+        return broken.isEmpty() ? CommandLine.KEPT : CommandLine.RULE_BROKEN;
+    }
+
+    private long[] range() {
+        int dots = seeds.indexOf("..");
+        try {
+            long from = Long.parseLong(seeds.substring(0, Math.max(0, dots)));
+            long to = Long.parseLong(seeds.substring(dots + 2));
+            if (dots > 0 && from <= to && to - from < 10_000_000) {
+                return new long[] {from, to};
+            }
+        } catch (NumberFormatException | StringIndexOutOfBoundsException e) {
+            // said below
+        }
+        throw new ParameterException(spec.commandLine(), "--seeds: '" + seeds
+                + "' is no range of seeds: A..B with A no more than B, as 1..500");
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/Clients.java
@@ -0,0 +1,280 @@
+package mulleinfront.emulator;
+
+import java.util.Arrays;
+import mulleinfront.Balancer.RequestClass;
+
+/**
+ * The applications: an open loop of requests, drawn whether or not earlier ones were answered, each with its
+ * tries at the client proxy beside it.
+ */
+final class Clients {
+    /** Allowance of a tenant that may be saved up, as time at its share. */
+    private static final double SAVED_S = 5;
+
+    private final World world;
+    private final Scenario scenario;
+    private final Chance arrivals;
+    private final Chance habits;
+    private final double[] proxies;
+    private final double[] classes;
+    private final double[] keys;
+    private final double[] tenantWeight;
+    private final double[] surge;
+    private double[] tenants;
+    private double surged = 1;
+    private boolean burst;
+    private final double[] allowance;
+    private final double[] allowancePerUs;
+    private final long[] allowedAt;
+    private long ids;
+
+    /** How a try ended, as its client sees it. */
+    enum How { SERVED, REFUSED, FAILED, BROKEN, UNREACHABLE, TIMED_OUT, LEFT }
+
+    /** What a client wants: one request with all its tries. */
+    static final class Ask {
+        final int classIndex;
+        final RequestClass type;
+        final int tenant;
+        final String key;
+        final String effect;
+        final double work;
+        final boolean overShare;
+        final long bornAt;
+        final int proxy;
+        final double patience;
+        final boolean honours;
+        int tries;
+
+        private Ask(int classIndex, RequestClass type, int tenant, String key, String effect, double work,
+                boolean overShare, long bornAt, int proxy, double patience, boolean honours) {
+            this.classIndex = classIndex;
+            this.type = type;
+            this.tenant = tenant;
+            this.key = key;
+            this.effect = effect;
+            this.work = work;
+            this.overShare = overShare;
+            this.bornAt = bornAt;
+            this.proxy = proxy;
+            this.patience = patience;
+            this.honours = honours;
+        }
+
+        long aimAt() {
+            return bornAt + type.aimUs();
+        }
+    }
+
+    /** One try: a request with an id of its own. */
+    static final class Try {
+        final Ask ask;
+        final Call call;
+        final long sentAt;
+        final long deadlineAt;
+        private boolean over;
+
+        private Try(Ask ask, Call call, long sentAt, long deadlineAt) {
+            this.ask = ask;
+            this.call = call;
+            this.sentAt = sentAt;
+            this.deadlineAt = deadlineAt;
+        }
+    }
+
+    Clients(World world) {
+        this.world = world;
+        this.scenario = world.scenario;
+        this.arrivals = world.chance("arrivals");
+        this.habits = world.chance("habits");
+        double[] weights = Chance.zipf(scenario.proxies().count(), scenario.proxies().spread());
+        this.proxies = Chance.sum(weights);
+        this.classes = Chance.sum(scenario.classes().stream().mapToDouble(Scenario.ClassSpec::share).toArray());
+        this.keys = scenario.load().keys() == 0 ? null
+                : Chance.sum(Chance.zipf(scenario.load().keys(), scenario.load().zipf()));
+        int count = Math.max(1, scenario.tenants().size());
+        this.tenantWeight = new double[count];
+        this.surge = new double[count];
+        this.allowance = new double[count];
+        this.allowancePerUs = new double[count];
+        this.allowedAt = new long[count];
+        Arrays.fill(tenantWeight, 1);
+        Arrays.fill(surge, 1);
+        Arrays.fill(allowancePerUs, 1e9);
+        double work = scenario.classes().stream().mapToDouble(c -> c.share() * c.workUs()).sum();
+        // Requests in a microsecond: capacity and work are both counted by the core.
+        double full = scenario.capacity() / work * scenario.service().shareOfCapacity();
+        for (int i = 0; i < scenario.tenants().size(); i++) {
+            Scenario.Tenant t = scenario.tenants().get(i);
+            tenantWeight[i] = t.share() * t.usage();
+            allowancePerUs[i] = full * t.share();
+        }
+        Arrays.setAll(allowance, i -> SAVED_S * 1e6 * allowancePerUs[i]);
+        weighTenants();
+    }
+
+    private void weighTenants() {
+        double[] weights = tenantWeight.clone();
+        double plain = Arrays.stream(weights).sum();
+        for (int i = 0; i < weights.length; i++) {
+            weights[i] *= surge[i];
+        }
+        tenants = Chance.sum(weights);
+        surged = tenants[tenants.length - 1] / plain;
+    }
+
+    /** A tenant, or all, ask so many times as much from now on; 1 ends it. */
+    void surge(int tenant, double factor) {
+        for (int i = 0; i < surge.length; i++) {
+            surge[i] = tenant < 0 || tenant == i ? factor : surge[i];
+        }
+        weighTenants();
+    }
+
+    void begin(long at) {
+        if (scenario.load().shape() == Scenario.Shape.BURSTY) {
+            world.queue.after(at, this::turn);
+        }
+        world.queue.after(at, this::next);
+    }
+
+    /** Bursts and lulls take turns. */
+    private void turn() {
+        burst = !burst;
+        world.queue.after((long) arrivals.exponential(scenario.load().burstUs()), this::turn);
+    }
+
+    private double rate() {
+        Scenario.Load load = scenario.load();
+        double rate = switch (load.shape()) {
+            case STEADY -> load.perSecond();
+            case BURSTY -> load.perSecond() * (burst ? 1 + load.swing() : 1 - load.swing());
+            case RAMP -> load.perSecond() + (load.endPerSecond() - load.perSecond())
+                    * Math.min(1.0, (double) world.queue.now() / scenario.lengthUs());
+        };
+        return rate * surged;
+    }
+
+    /** The next arrival. Where the rate changes meanwhile, a look-ahead of a second bounds the error. */
+    private void next() {
+        double rate = rate();
+        double gap = rate <= 0 ? 2e6 : arrivals.exponential(1e6 / rate);
+        boolean comes = gap < 1e6;
+        world.queue.after((long) Math.min(gap, 1e6), () -> {
+            if (world.queue.now() < scenario.lengthUs()) {
+                if (comes) {
+                    ask();
+                }
+                next();
+            }
+        });
+    }
+
+    /** One request, of a class, tenant, key and client proxy drawn. */
+    void ask() {
+        int c = arrivals.place(classes);
+        Scenario.ClassSpec spec = scenario.classes().get(c);
+        int tenant = arrivals.place(tenants);
+        String key = keys == null ? null : "k" + arrivals.place(keys);
+        double work = switch (spec.dist()) {
+            case FIXED -> spec.workUs();
+            case EXPONENTIAL -> arrivals.exponential(spec.workUs());
+            case LOGNORMAL -> arrivals.lognormal(spec.workUs(), spec.cv());
+        };
+        int proxy = arrivals.place(proxies);
+        Ask ask = new Ask(c, spec.type(), tenant, key, "e" + ids, Math.max(1, work), overShare(tenant),
+                world.queue.now(), proxy, scenario.clients().patience().draw(habits),
+                habits.happens(scenario.clients().honour()));
+        world.tally.asked(ask);
+        attempt(ask);
+    }
+
+    private boolean overShare(int tenant) {
+        long now = world.queue.now();
+        double most = SAVED_S * 1e6 * allowancePerUs[tenant];
+        allowance[tenant] = Math.min(most,
+                allowance[tenant] + (now - allowedAt[tenant]) * allowancePerUs[tenant]);
+        allowedAt[tenant] = now;
+        if (allowance[tenant] < 1) {
+            return true;
+        }
+        allowance[tenant]--;
+        return false;
+    }
+
+    private void attempt(Ask ask) {
+        long now = world.queue.now();
+        long deadline = Math.min(now + (long) (ask.patience * ask.type.deadlineUs()),
+                ask.bornAt + ask.type.deadlineUs());
+        if (deadline - now < 1_000) {
+            world.tally.over(ask, false, now);
+            return;
+        }
+        ask.tries++;
+        String id = "q" + ids++;
+        Try t = new Try(ask, new Call(id, ask.classIndex, ask.work, ask.key, ask.effect,
+                ask.type.dedupWindowUs()), now, deadline);
+        world.tally.tried();
+        Proxy proxy = world.proxies.get(ask.proxy);
+        world.queue.after(way(), () -> {
+            if (t.over) {
+                return;
+            }
+            if (!proxy.running()) {
+                answered(t, How.UNREACHABLE, 0);
+                return;
+            }
+            proxy.take(t);
+        });
+        world.queue.after(deadline + scenario.rules().answerSlackUs() - now, () -> leave(t, How.TIMED_OUT));
+        if (habits.happens(scenario.clients().leave())) {
+            world.queue.after((long) ((deadline - now) * habits.unit()), () -> leave(t, How.LEFT));
+        }
+    }
+
+    private long way() {
+        return (long) scenario.network().client().draw(habits);
+    }
+
+    /** The client waits no longer and closes its connection. */
+    private void leave(Try t, How how) {
+        if (!t.over) {
+            t.over = true;
+            world.proxies.get(t.ask.proxy).gone(t);
+            ended(t, how, 0);
+        }
+    }
+
+    /** The client proxy's word is on its way to the client. */
+    void answered(Try t, How how, long retryAfterUs) {
+        world.queue.after(way(), () -> {
+            if (!t.over) {
+                t.over = true;
+                ended(t, how, retryAfterUs);
+            }
+        });
+    }
+
+    /** What the client makes of it: a further try, where that is harmless and there is time. */
+    private void ended(Try t, How how, long retryAfterUs) {
+        Ask ask = t.ask;
+        long now = world.queue.now();
+        world.tally.tryEnded(how);
+        if (how == How.SERVED || how == How.LEFT) {
+            world.tally.over(ask, how == How.SERVED, now);
+            return;
+        }
+        boolean harmless = how == How.REFUSED || how == How.UNREACHABLE || Scenario.refusable(ask.type);
+        double wait = scenario.clients().backoff().draw(habits)
+                * (scenario.clients().doubling() ? 1 << Math.min(16, ask.tries - 1) : 1);
+        if (ask.honours) {
+            wait = Math.max(wait, retryAfterUs);
+        }
+        if (!harmless || ask.tries > scenario.clients().retries()
+                || now + wait >= ask.bornAt + ask.type.deadlineUs()) {
+            world.tally.over(ask, false, now);
+            return;
+        }
+        world.queue.after((long) wait, () -> attempt(ask));
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/DiscoveryClient.java
@@ -0,0 +1,145 @@
+package mulleinfront.emulator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mulleinfront.Balancer.Availability;
+import mulleinfront.Balancer.Endpoint;
+import mulleinfront.Balancer.Source;
+import mulleinfront.core.Core;
+import mulleinfront.core.ListOrder;
+import mulleinfront.core.Time;
+
+/** A client proxy's side of discovery: its watch and its list, by the same steps as on sockets. */
+final class DiscoveryClient {
+    /** As on sockets: two heartbeats missed and a little more are silence. */
+    private static final long SILENCE_US = 4_500_000;
+    /** As on sockets: where lists are pushed, a broken watch is asked for again after this. */
+    private static final long AGAIN_US = 500_000;
+
+    private final World world;
+    private final Time time;
+    private final int proxy;
+    private final int zone;
+    private final Map<String, Integer> addresses = new HashMap<>();
+    private Core<Call, Answer> core;
+    private EmulatedWire wire;
+    private final ListOrder order = new ListOrder();
+    private long version = -1;
+    private Watch watch;
+
+    DiscoveryClient(World world, Time time, int proxy, int zone) {
+        this.world = world;
+        this.time = time;
+        this.proxy = proxy;
+        this.zone = zone;
+    }
+
+    void join(Core<Call, Answer> core, EmulatedWire wire) {
+        this.core = core;
+        this.wire = wire;
+    }
+
+    Integer address(String hostId) {
+        return addresses.get(hostId);
+    }
+
+    /** Asks for what changed and for all changes to come, unless that is asked for already. */
+    void watch() {
+        if (watch == null) {
+            watch = new Watch();
+            watch.silence(0);
+            world.audit.asked(proxy, time.now());
+            world.registry.call(watch);
+        }
+    }
+
+    void stop() {
+        if (watch != null) {
+            world.registry.leave(watch);
+            watch.end();
+            watch = null;
+        }
+    }
+
+    /** Takes over a list, first for the wire and then for the module. */
+    void take(Registry.News news, Source source) {
+        world.audit.told(proxy, news.version(), source, news.entries(), time.now());
+        boolean whole = source != Source.DELTA;
+        version = whole ? news.version() : Math.max(version, news.version());
+        Set<String> left = source == Source.DELTA ? new HashSet<>() : new HashSet<>(addresses.keySet());
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (Registry.Entry e : order.news(news.version(), whole, news.entries(), e -> e.endpoint().id())) {
+            Endpoint endpoint = e.endpoint();
+            endpoints.add(endpoint);
+            left.remove(endpoint.id());
+            Integer before = endpoint.availability() == Availability.GONE ? addresses.remove(endpoint.id())
+                    : addresses.put(endpoint.id(), e.address());
+            if (before != null && (before != e.address() || endpoint.availability() != Availability.READY)) {
+                wire.hangUp(before);
+            }
+        }
+        left.stream().sorted().forEach(id -> wire.hangUp(addresses.remove(id)));
+        core.listed(source, endpoints);
+    }
+
+    /** One call, and the watch that it becomes. It fails once, however it ends. */
+    final class Watch {
+        /** Version up to which it has been told. */
+        long toldTo = version;
+        private Time.Timer patience;
+        private boolean over;
+
+        int zone() {
+            return zone;
+        }
+
+        boolean over() {
+            return over;
+        }
+
+        /** It is answered, and heartbeats come. */
+        void begin() {
+            if (patience != null) {
+                patience.cancel();
+                patience = null;
+            }
+        }
+
+        /** Nothing comes from now on; the last heartbeat was so long ago. */
+        void silence(long agoUs) {
+            begin();
+            patience = time.after(SILENCE_US - agoUs, this::fail);
+        }
+
+        void hear(Registry.News news) {
+            if (!over && watch == this) {
+                take(news, news.full() ? Source.FULL : Source.DELTA);
+                world.audit.watching(proxy, time.now());
+            }
+        }
+
+        void end() {
+            over = true;
+            begin();
+        }
+
+        void fail() {
+            if (over || watch != this) {
+                return;
+            }
+            end();
+            watch = null;
+            world.registry.leave(this);
+            world.audit.watchFailed(proxy, time.now());
+            if (world.scenario.discovery().asked()) {
+                core.discoveryFailed();
+            } else {
+                time.after(AGAIN_US, DiscoveryClient.this::watch);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/EmulatedWire.java
@@ -0,0 +1,404 @@
+package mulleinfront.emulator;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import mulleinfront.Balancer.Outcome;
+import mulleinfront.core.Time;
+import mulleinfront.core.Wire;
+
+/**
+ * Connections of one client proxy to servers, and the attempts made on them, on the emulated network: the same
+ * steps as on sockets (an idle connection that has rested, or a new one; the whole request or surely not; one
+ * end), with every delay and break drawn.
+ */
+final class EmulatedWire implements Wire<Call, Answer> {
+    /** As on sockets: we close first, after this part of the idle time that the settings tell. */
+    private static final double IDLE_PART = 0.75;
+    /** As on sockets: a connection rests after an answer, and this many fresh ones are tried. */
+    private static final long REST_US = 3_000;
+    private static final int MOST_FRESH = 3;
+    /** Messages of a handshake, each way, before a request may be sent. */
+    private static final int HANDSHAKE_TRIPS = 2;
+
+    private final World world;
+    private final Time time;
+    private final int proxy;
+    private final int zone;
+    private final long idleUs;
+    private final DiscoveryClient discovery;
+    private final Map<Integer, ArrayDeque<Link>> idleAt = new HashMap<>();
+    /** Idle connections, the longest idle first. */
+    private final LinkedHashSet<Link> idle = new LinkedHashSet<>();
+    private final LinkedHashSet<Link> all = new LinkedHashSet<>();
+    private boolean sweeping;
+
+    EmulatedWire(World world, Time time, int proxy, int zone, DiscoveryClient discovery) {
+        this.world = world;
+        this.time = time;
+        this.proxy = proxy;
+        this.zone = zone;
+        this.discovery = discovery;
+        this.idleUs = (long) (world.scenario.limits().connIdleUs() * IDLE_PART);
+    }
+
+    int zone() {
+        return zone;
+    }
+
+    int connections() {
+        return all.size();
+    }
+
+    @Override
+    public Wire.Attempt attempt(String requestId, int number, String hostId, Call call, long timeoutUs,
+            BooleanSupplier wanted, End<Answer> end) {
+        Integer address = discovery.address(hostId);
+        return address == null ? null : new Attempt(requestId, number, address, call, timeoutUs, wanted, end);
+    }
+
+    @Override
+    public void probe(String hostId, End<Answer> end) {
+        Integer address = discovery.address(hostId);
+        if (address == null) {
+            end.ended(Outcome.IGNORED, null);
+            return;
+        }
+        world.tally.probes++;
+        new Attempt(null, 0, address, null, world.scenario.limits().dialTimeoutUs(), () -> true, end).start();
+    }
+
+    @Override
+    public void subscribe() {
+        discovery.watch();
+    }
+
+    /** Closes the idle connections to an address that is listed no more. */
+    void hangUp(int address) {
+        ArrayDeque<Link> links = idleAt.remove(address);
+        if (links != null) {
+            links.forEach(this::close);
+        }
+    }
+
+    /** The process is gone: its machine resets all its connections. */
+    void die() {
+        for (Link link : List.copyOf(all)) {
+            if (link.current != null) {
+                link.current.forget();
+            }
+            close(link);
+        }
+    }
+
+    /** Closes our end; the server learns of it a moment later, and stops what it did for us. */
+    private void close(Link link) {
+        if (!link.open) {
+            return;
+        }
+        link.open = false;
+        leaveIdle(link);
+        all.remove(link);
+        ServerModel.Job job = link.current == null ? null : link.current.job;
+        link.current = null;
+        if (world.network.passes(zone, link.host)) {
+            world.queue.after(world.network.delay(zone, link.host.zone), () -> {
+                world.release(link);
+                if (job != null) {
+                    link.life.cancel(job);
+                }
+            });
+        }
+    }
+
+    private void leaveIdle(Link link) {
+        if (idle.remove(link)) {
+            ArrayDeque<Link> links = idleAt.get(link.address);
+            if (links != null) {
+                links.remove(link);
+            }
+        }
+    }
+
+    /** A reset has come from the server's side. */
+    void broken(Link link) {
+        if (!link.open) {
+            return;
+        }
+        Attempt current = link.current;
+        link.open = false;
+        leaveIdle(link);
+        all.remove(link);
+        if (current != null) {
+            current.broken();
+        }
+    }
+
+    private Link rested(int address) {
+        ArrayDeque<Link> links = idleAt.get(address);
+        if (links == null) {
+            return null;
+        }
+        for (Link link : links) {
+            if (time.now() - link.idleAt > REST_US) {
+                leaveIdle(link);
+                return link;
+            }
+        }
+        return null;
+    }
+
+    private void rest(Link link) {
+        link.current = null;
+        link.idleAt = time.now();
+        idle.add(link);
+        idleAt.computeIfAbsent(link.address, a -> new ArrayDeque<>()).push(link);
+        sweep();
+    }
+
+    /** Closes what has been idle for long, when the first of them has. */
+    private void sweep() {
+        if (!sweeping && !idle.isEmpty()) {
+            sweeping = true;
+            time.after(idle.iterator().next().idleAt + idleUs - time.now(), () -> {
+                sweeping = false;
+                for (Link l; !idle.isEmpty() && (l = idle.iterator().next()).idleAt + idleUs <= time.now();) {
+                    close(l);
+                }
+                sweep();
+            });
+        }
+    }
+
+    /** One attempt; ends exactly once, with what can be vouched for. */
+    final class Attempt implements Wire.Attempt {
+        private final String requestId;
+        private final int number;
+        private final int address;
+        private final Call call;
+        private final BooleanSupplier wanted;
+        private final End<Answer> end;
+        private final long endsAt;
+        private final Time.Timer timer;
+        private Time.Timer dial;
+        private Link link;
+        private ServerModel.Job job;
+        private int fresh;
+        private boolean written;
+        private boolean over;
+
+        Attempt(String requestId, int number, int address, Call call, long timeoutUs, BooleanSupplier wanted,
+                End<Answer> end) {
+            this.requestId = requestId;
+            this.number = number;
+            this.address = address;
+            this.call = call;
+            this.wanted = wanted;
+            this.end = end;
+            this.endsAt = time.now() + timeoutUs;
+            this.timer = time.after(timeoutUs, () -> abandon(Outcome.TIMED_OUT));
+        }
+
+        @Override
+        public void start() {
+            Link reused = rested(address);
+            if (reused != null) {
+                write(reused);
+            } else {
+                connect();
+            }
+        }
+
+        private void connect() {
+            if (all.size() >= world.scenario.proxies().connections() && !idle.isEmpty()) {
+                close(idle.iterator().next());
+            }
+            fresh++;
+            dial = time.after(world.scenario.limits().dialTimeoutUs(), () -> finish(Outcome.CONNECT_ERROR, null));
+            Host host = world.at(address);
+            // An address without a machine, or none on the way to it, is silence; one without a process refuses.
+            if (host == null || !world.network.passes(zone, host)) {
+                return;
+            }
+            time.after(trips(host, 1), () -> accept(host));
+        }
+
+        private long trips(Host host, int trips) {
+            long us = 0;
+            for (int i = 0; i < 2 * trips; i++) {
+                us += world.network.delay(zone, host.zone);
+            }
+            return us;
+        }
+
+        private void accept(Host host) {
+            if (over || !world.network.passes(zone, host)) {
+                return;
+            }
+            if (!host.alive() || host.address != address || !host.life.connect()) {
+                finish(Outcome.CONNECT_ERROR, null);
+                return;
+            }
+            Link made = new Link(host, host.life, EmulatedWire.this, time.now());
+            host.links.add(made);
+            all.add(made);
+            world.tally.opened(all.size());
+            made.current = this;
+            link = made;
+            time.after(trips(host, HANDSHAKE_TRIPS - 1), () -> {
+                if (!over && made.open && made.life == host.life && world.network.passes(zone, host)) {
+                    write(made);
+                }
+            });
+        }
+
+        /** The one place where a request goes out: not if it is no longer wanted, whatever was decided. */
+        private void write(Link to) {
+            cancel(dial);
+            link = to;
+            to.current = this;
+            if (!wanted.getAsBoolean()) {
+                finish(Outcome.IGNORED, null);
+                return;
+            }
+            Host host = to.host;
+            if (requestId != null) {
+                world.audit.sent(proxy, requestId, number, host.id, time.now());
+                world.tally.sent(zone == host.zone);
+            }
+            if (host.chance.happens(host.resetBefore)) {
+                // The host took the connection and not the whole request: that surely did not run.
+                close(to);
+                link = null;
+                if (fresh < MOST_FRESH) {
+                    connect();
+                } else {
+                    finish(Outcome.CONNECT_ERROR, null);
+                }
+                return;
+            }
+            written = true;
+            if (world.network.passes(zone, host)) {
+                world.queue.after(world.network.delay(zone, host.zone), () -> arrive(to));
+            }
+        }
+
+        /** The last byte is at the server, if that still has the connection. */
+        private void arrive(Link to) {
+            Host host = to.host;
+            if (!world.network.passes(zone, host) || to.life.stopped() || !to.accepted) {
+                return;
+            }
+            if (time.now() - to.servedAt > to.life.machine().idleCloseUs()) {
+                world.reset(to);
+                return;
+            }
+            if (requestId == null) {
+                to.life.probe((how, inflight) -> back(to, how));
+                return;
+            }
+            double work = call.work() + (to.fresh ? to.life.handshakeWork() : 0);
+            to.fresh = false;
+            ServerModel.Job made = new ServerModel.Job(requestId, work, call.key(), call.effect(),
+                    call.windowUs(), endsAt, (how, inflight) -> back(to, how));
+            if (!over) {
+                job = made;
+            }
+            world.arrived(host, proxy, requestId, work);
+            if (to.life.stopped()) {
+                return;
+            }
+            to.life.offer(made);
+            if (over) {
+                to.life.cancel(made);
+            }
+        }
+
+        /** The server answers. */
+        private void back(Link to, ServerModel.End how) {
+            Host host = to.host;
+            to.servedAt = world.queue.now();
+            if (requestId != null && host.chance.happens(host.resetAfter)) {
+                world.reset(to);
+                return;
+            }
+            if (!world.network.passes(zone, host)) {
+                return;
+            }
+            world.queue.after(world.network.delay(zone, host.zone), () -> {
+                if (to.open && to.current == this && world.network.passes(zone, host)) {
+                    answered(to, how);
+                }
+            });
+        }
+
+        private void answered(Link to, ServerModel.End how) {
+            link = null;
+            if (to.host.address == address && to.host.life == to.life && !to.life.draining()) {
+                rest(to);
+            } else {
+                to.current = null;
+                close(to);
+            }
+            switch (how) {
+                case SERVED -> finish(Outcome.OK, new Answer(requestId, to.host.id));
+                case ERROR -> finish(Outcome.FAILED, null);
+                case NOT_RUN -> finish(Outcome.QUEUE_FULL, null);
+            }
+        }
+
+        @Override
+        public void cancel() {
+            abandon(Outcome.CANCELED);
+        }
+
+        private void abandon(Outcome outcome) {
+            finish(outcome == Outcome.TIMED_OUT && !written ? Outcome.CONNECT_ERROR : outcome, null);
+        }
+
+        private void broken() {
+            link = null;
+            finish(written ? Outcome.RESET : Outcome.CONNECT_ERROR, null);
+        }
+
+        /** The client proxy is no more: nobody is told. */
+        private void forget() {
+            over = true;
+            cancel(timer);
+            cancel(dial);
+        }
+
+        private void cancel(Time.Timer pending) {
+            if (pending != null) {
+                pending.cancel();
+            }
+        }
+
+        private void finish(Outcome outcome, Answer answer) {
+            if (over) {
+                return;
+            }
+            over = true;
+            cancel(timer);
+            cancel(dial);
+            if (link != null) {
+                close(link);
+                link = null;
+            }
+            if (requestId != null) {
+                world.audit.attemptEnded(proxy, requestId, number, outcome, time.now());
+                world.tally.outcome(outcome);
+            }
+            end.ended(outcome, answer);
+        }
+    }
+
+    /** What is out when nothing more can come: for tests of what is left behind. */
+    List<Link> open() {
+        return new ArrayList<>(all);
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/FaultReader.java
@@ -0,0 +1,143 @@
+package mulleinfront.emulator;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import mulleinfront.emulator.Scenario.Fault;
+import mulleinfront.emulator.Scenario.Kind;
+
+/** Reads the script of faults, each against the world that it is to happen in. */
+final class FaultReader {
+    private static final Range NONE = Range.of(0);
+
+    private final Scenario world;
+    private final Set<String> servers = new HashSet<>();
+
+    FaultReader(Scenario world) {
+        this.world = world;
+        for (Scenario.Servers group : world.servers()) {
+            for (int i = 0; i < group.count(); i++) {
+                servers.add(group.name() + "-" + i);
+            }
+        }
+    }
+
+    List<Fault> read(List<Section> sections) throws ScenarioException {
+        List<Fault> all = new ArrayList<>();
+        for (Section s : sections) {
+            all.add(read(s));
+            s.done();
+        }
+        return all;
+    }
+
+    private Fault read(Section s) throws ScenarioException {
+        Kind kind = s.word("do", null, Kind.class);
+        long at = s.time("at", null);
+        if (at > world.lengthUs()) {
+            throw s.wrong("at", "the scenario is over by then");
+        }
+        long forUs = lasts(kind) ? s.time("for", 0L) : 0;
+        double factor = 1;
+        double share = 0;
+        Range on = NONE;
+        Range off = NONE;
+        long drain = 0;
+        boolean moved = false;
+        switch (kind) {
+            case SLOW -> factor = s.number("factor", null, 1);
+            case NEIGHBOUR -> {
+                share = s.share("takes", null, 0.99);
+                on = s.times("on", Range.of(forUs > 0 ? forUs : world.lengthUs()));
+                off = s.times("off", NONE);
+            }
+            case ERRORS, RESET_BEFORE, RESET_AFTER -> share = s.share("rate", null, 1);
+            case PAUSE -> forUs = s.time("for", null);
+            case RESTART -> {
+                drain = s.time("drain", 0L);
+                moved = s.flag("moved", false);
+            }
+            case DEPLOY -> {
+                share = s.share("batch", null, 1);
+                drain = s.time("drain", 3_000_000L);
+                moved = s.flag("moved", true);
+                if (share <= 0 || forUs <= 0) {
+                    throw s.wrong("a deploy needs a batch of more than nothing, and the time that it is for");
+                }
+            }
+            case DISCOVERY_LATE -> on = s.times("by", null);
+            case DISCOVERY_SHUFFLE -> factor = s.count("lists", 5, 2);
+            case SURGE -> factor = s.number("factor", null, 0);
+            case DRAIN, HANG, VANISH, CUT, DISCOVERY_DOWN, DISCOVERY_SILENT, KILL_PROXY, END_PROXY, BURST -> { }
+        }
+        List<String> named = List.of();
+        int count = -1;
+        int zone = -1;
+        int proxy = -1;
+        int tenant = -1;
+        if (aimsAtServers(kind)) {
+            named = s.texts("servers");
+            for (String name : named) {
+                if (!servers.contains(name)) {
+                    throw s.wrong("servers", "there is no server " + name);
+                }
+            }
+            zone = s.has("zone") ? place(s, "zone", world.zones()) : -1;
+            count = s.has("count") ? s.count("count", null, 1) : s.has("part") ? part(s) : -1;
+            if (count > world.fleet()) {
+                throw s.wrong("count", "there are only " + world.fleet() + " servers");
+            }
+            if (named.isEmpty() && zone < 0 && count < 0) {
+                throw s.wrong("names nobody: it needs servers, count, part or zone");
+            }
+            if (!named.isEmpty() && (zone >= 0 || count >= 0)) {
+                throw s.wrong("servers", "names all that it happens to: count, part and zone don't go with it");
+            }
+        } else if (kind == Kind.KILL_PROXY || kind == Kind.END_PROXY) {
+            proxy = s.has("proxy") ? s.count("proxy", null, 0) : -1;
+            count = s.has("count") ? s.count("count", null, 1) : -1;
+            if (proxy < 0 == count < 0) {
+                throw s.wrong("names nobody: it needs either proxy (its number) or count");
+            }
+            if (proxy >= world.proxies().count() || count > world.proxies().count()) {
+                throw s.wrong(proxy >= 0 ? "proxy" : "count",
+                        "there are only " + world.proxies().count() + " client proxies, from 0 on");
+            }
+        } else if (kind == Kind.BURST) {
+            count = s.count("requests", null, 1);
+        } else if (kind == Kind.SURGE && s.has("tenant")) {
+            tenant = place(s, "tenant", world.tenants().stream().map(Scenario.Tenant::name).toList());
+        }
+        return new Fault(kind, at, forUs, named, count, zone, proxy, tenant, factor, share, on, off, drain,
+                moved);
+    }
+
+    private int part(Section s) throws ScenarioException {
+        return Math.max(1, (int) Math.round(s.share("part", null, 1) * world.fleet()));
+    }
+
+    private static int place(Section s, String key, List<String> names) throws ScenarioException {
+        String name = s.text(key, null);
+        int at = names.indexOf(name);
+        if (at < 0) {
+            throw s.wrong(key, "there is no " + key + " " + name);
+        }
+        return at;
+    }
+
+    private static boolean lasts(Kind kind) {
+        return switch (kind) {
+            case PAUSE, DRAIN, RESTART, KILL_PROXY, END_PROXY, BURST -> false;
+            default -> true;
+        };
+    }
+
+    private static boolean aimsAtServers(Kind kind) {
+        return switch (kind) {
+            case SLOW, HANG, NEIGHBOUR, ERRORS, PAUSE, DRAIN, RESTART, DEPLOY, VANISH, CUT, RESET_BEFORE,
+                    RESET_AFTER -> true;
+            default -> false;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/Network.java
@@ -0,0 +1,51 @@
+package mulleinfront.emulator;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/** How long messages are under way, and which never arrive. */
+final class Network {
+    private final long[][] oneWay;
+    private final double jitter;
+    private final Chance chance;
+    private final int[] cutZones;
+    private final Set<Host> cutHosts = new HashSet<>();
+
+    Network(Scenario.Network spec, int zones, Chance chance) {
+        this.jitter = spec.jitter();
+        this.chance = chance;
+        this.oneWay = new long[zones][zones];
+        this.cutZones = new int[zones];
+        for (int a = 0; a < zones; a++) {
+            for (int b = a; b < zones; b++) {
+                long us = Math.max(1, (long) (a == b ? spec.same() : spec.cross()).draw(chance));
+                oneWay[a][b] = us;
+                oneWay[b][a] = us;
+            }
+        }
+    }
+
+    /** Time that one message takes, microseconds, at least 1. */
+    long delay(int from, int to) {
+        double us = oneWay[from][to] * (1 + jitter * chance.unit());
+        return Math.max(1, (long) us);
+    }
+
+    /** Whether a message between a client proxy's zone and a server would arrive now. */
+    boolean passes(int zone, Host host) {
+        return !host.vanished && !cutHosts.contains(host)
+                && (zone == host.zone || cutZones[zone] == 0 && cutZones[host.zone] == 0);
+    }
+
+    void cut(int zone, boolean on) {
+        cutZones[zone] += on ? 1 : -1;
+    }
+
+    void cut(Host host, boolean on) {
+        if (on) {
+            cutHosts.add(host);
+        } else {
+            cutHosts.remove(host);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -0,0 +1,198 @@
+package mulleinfront.emulator;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import mulleinfront.Balancer.Source;
+import mulleinfront.core.Caller;
+import mulleinfront.core.Core;
+import mulleinfront.core.Time;
+
+/** A client proxy's machine: one process after another, each with a core, a module and connections anew. */
+final class Proxy {
+    private final World world;
+    private final int number;
+    private final int zone;
+    private final Core.Maker maker;
+    private final Chance chance;
+    private Life life;
+    int starts;
+
+    Proxy(World world, int number, int zone, Core.Maker maker) {
+        this.world = world;
+        this.number = number;
+        this.zone = zone;
+        this.maker = maker;
+        this.chance = world.chance("proxy " + number);
+    }
+
+    int number() {
+        return number;
+    }
+
+    int zone() {
+        return zone;
+    }
+
+    boolean running() {
+        return life != null && life.listening;
+    }
+
+    int held() {
+        return life == null ? 0 : life.core.held();
+    }
+
+    int connections() {
+        return life == null ? 0 : life.wire.connections();
+    }
+
+    /** A process begins and takes requests. */
+    void start(Registry.News known) {
+        if (life == null) {
+            starts++;
+            world.audit.proxyStarted(number, world.queue.now());
+            life = new Life();
+            life.begin(known);
+        }
+    }
+
+    /** SIGKILL: what it held is its clients' to retry. It starts again after its time. */
+    void kill() {
+        if (life != null) {
+            Life killed = life;
+            life = null;
+            world.audit.proxyKilled(number);
+            killed.end();
+            world.queue.after(world.scenario.proxies().startUs(), () -> start(world.known()));
+        }
+    }
+
+    /** SIGTERM: it takes what still comes for a moment, finishes what it has and ends. */
+    void end() {
+        if (life == null || life.ending) {
+            return;
+        }
+        Life ending = life;
+        ending.ending = true;
+        world.queue.after(world.scenario.proxies().lateCallsUs(), () -> {
+            ending.listening = false;
+            ending.endIfDone();
+        });
+        world.queue.after(world.scenario.proxies().killAfterUs(), () -> {
+            if (life == ending) {
+                world.audit.proxyEnded(number, world.queue.now());
+                kill();
+            }
+        });
+    }
+
+    /** A try's last byte has come; whoever sent it hears how it ended, or nothing if that process dies. */
+    Core.Exchange<Call, Answer> take(Clients.Try t) {
+        return life.take(t);
+    }
+
+    void gone(Clients.Try t) {
+        if (life != null && life.open.containsKey(t)) {
+            life.gone(t);
+        }
+    }
+
+    /** One process. */
+    private final class Life implements Time {
+        private final DiscoveryClient discovery = new DiscoveryClient(world, this, number, zone);
+        private final EmulatedWire wire = new EmulatedWire(world, this, number, zone, discovery);
+        private final Core<Call, Answer> core =
+                new Core<>(world.scenario.settings(), this, wire, world.audit::defect);
+        private final Map<Clients.Try, Core.Exchange<Call, Answer>> open = new LinkedHashMap<>();
+        private boolean alive = true;
+        private boolean listening = true;
+        private boolean ending;
+
+        void begin(Registry.News known) {
+            discovery.join(core, wire);
+            core.begin(maker, chance.nextLong());
+            discovery.take(known, Source.CACHED);
+            if (!world.scenario.discovery().asked()) {
+                discovery.watch();
+            }
+            core.perform();
+        }
+
+        @Override
+        public long now() {
+            return world.queue.now();
+        }
+
+        /** Timers die with the process. */
+        @Override
+        public Timer after(long delayUs, Runnable task) {
+            return world.queue.after(delayUs, () -> {
+                if (alive) {
+                    task.run();
+                }
+            });
+        }
+
+        private Core.Exchange<Call, Answer> take(Clients.Try t) {
+            long now = now();
+            world.audit.taken(number, t.call.id(), t.call.classIndex(), now, t.deadlineAt);
+            core.take(new Caller<Call, Answer>() {
+                @Override
+                public void opened(Core.Exchange<Call, Answer> exchange) {
+                    open.put(t, exchange);
+                }
+
+                @Override
+                public void served(Answer answer) {
+                    world.audit.served(number, t.call.id(), answer.requestId(), now());
+                    over(t, Clients.How.SERVED, 0);
+                }
+
+                @Override
+                public void refused(long retryAfterUs) {
+                    world.audit.refused(number, t.call.id(), now());
+                    over(t, Clients.How.REFUSED, retryAfterUs);
+                }
+
+                @Override
+                public void failed(boolean timeUp) {
+                    world.audit.failed(number, t.call.id(), now());
+                    over(t, Clients.How.FAILED, 0);
+                }
+            }, t.call.id(), t.call.classIndex(), t.call.key(), Math.max(1, (t.deadlineAt - t.sentAt) / 1000), now,
+                    0, t.ask.tenant, false, t.call);
+            return open.get(t);
+        }
+
+        private void over(Clients.Try t, Clients.How how, long retryAfterUs) {
+            open.remove(t);
+            world.clients.answered(t, how, retryAfterUs);
+            endIfDone();
+        }
+
+        private void gone(Clients.Try t) {
+            world.audit.left(number, t.call.id(), now());
+            core.gone(open.remove(t));
+            endIfDone();
+        }
+
+        private void endIfDone() {
+            if (alive && ending && !listening && open.isEmpty() && life == this) {
+                life = null;
+                world.audit.proxyEnded(number, now());
+                end();
+                world.queue.after(world.scenario.proxies().startUs(), () -> start(world.known()));
+            }
+        }
+
+        private void end() {
+            alive = false;
+            listening = false;
+            discovery.stop();
+            wire.die();
+            List<Clients.Try> left = List.copyOf(open.keySet());
+            open.clear();
+            left.forEach(t -> world.clients.answered(t, Clients.How.BROKEN, 0));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/Registry.java
@@ -0,0 +1,219 @@
+package mulleinfront.emulator;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mulleinfront.Balancer.Availability;
+import mulleinfront.Balancer.Endpoint;
+
+/**
+ * Discovery: what it knows of the servers, later than it happens, and those who watch it. A call takes its time
+ * and waits for those before it; one that would wait too long fails, and so does any while discovery is down.
+ */
+final class Registry {
+    /** A server as listed. */
+    record Entry(Endpoint endpoint, int address) { }
+
+    /** A list on its way: all of it, or what changed. */
+    record News(long version, boolean full, List<Entry> entries) { }
+
+    /** Heartbeats on a watch come this often. */
+    static final long HEARTBEAT_US = 2_000_000;
+
+    private final World world;
+    private final Scenario.Discovery spec;
+    private final Chance chance;
+    /** Every change, in order; an entry's place is its version less one. */
+    private final List<Entry> log = new ArrayList<>();
+    private final List<Long> loggedAt = new ArrayList<>();
+    private final Map<String, Entry> present = new LinkedHashMap<>();
+    private final Set<DiscoveryClient.Watch> watches = new LinkedHashSet<>();
+    private boolean announcing;
+    private long busyUntil;
+    private boolean down;
+    private boolean silent;
+    private Range late = Range.of(0);
+    private int shuffle;
+    private final List<Runnable> shuffled = new ArrayList<>();
+    long calls;
+    long failedCalls;
+
+    Registry(World world, Chance chance) {
+        this.world = world;
+        this.spec = world.scenario.discovery();
+        this.chance = chance;
+    }
+
+    /** Something happened to a server; discovery will know after a while. */
+    void happened(Host host, Availability availability, boolean silently) {
+        Entry entry = new Entry(host.listed(availability), host.address);
+        Range notice = silently ? spec.silentNotice() : availability == Availability.READY ? spec.period()
+                : spec.notice();
+        world.queue.after((long) notice.draw(chance), () -> know(entry));
+    }
+
+    /** Known at once: how the world is at its start. */
+    void know(Entry entry) {
+        // What is told of an older life of a server comes too late.
+        Entry held = present.get(entry.endpoint().id());
+        if (held != null && entry.endpoint().startedAtUs() < held.endpoint().startedAtUs()) {
+            return;
+        }
+        log.add(entry);
+        loggedAt.add(world.queue.now());
+        if (entry.endpoint().availability() == Availability.GONE) {
+            present.remove(entry.endpoint().id());
+        } else {
+            present.put(entry.endpoint().id(), entry);
+        }
+        world.audit.listedByDiscovery(entry.endpoint(), world.queue.now());
+        announce();
+    }
+
+    private void announce() {
+        if (!announcing && !watches.isEmpty()) {
+            announcing = true;
+            world.queue.after((long) spec.period().draw(chance), () -> {
+                announcing = false;
+                for (DiscoveryClient.Watch w : List.copyOf(watches)) {
+                    tell(w);
+                }
+            });
+        }
+    }
+
+    long version() {
+        return log.size();
+    }
+
+    /** The whole list as it was at an instant. */
+    News at(long instant) {
+        Map<String, Entry> then = new LinkedHashMap<>();
+        long version = 0;
+        for (int i = 0; i < log.size() && loggedAt.get(i) <= instant; i++) {
+            Entry e = log.get(i);
+            version = i + 1;
+            if (e.endpoint().availability() == Availability.GONE) {
+                then.remove(e.endpoint().id());
+            } else {
+                then.put(e.endpoint().id(), e);
+            }
+        }
+        return new News(version, true, List.copyOf(then.values()));
+    }
+
+    /** Tells a watch what it has not been told. */
+    private void tell(DiscoveryClient.Watch w) {
+        long from = w.toldTo;
+        if (down || silent || from >= version() && from >= 0) {
+            return;
+        }
+        News news = from < 0 || version() - from > 2L * present.size() + 16
+                ? new News(version(), true, List.copyOf(present.values()))
+                : new News(version(), false, List.copyOf(log.subList((int) from, log.size())));
+        w.toldTo = version();
+        Runnable delivery = () -> w.hear(news);
+        if (shuffle > 0) {
+            shuffled.add(delivery);
+            if (shuffled.size() >= shuffle) {
+                deliverShuffled();
+            }
+        } else {
+            world.queue.after(way(w), delivery);
+        }
+    }
+
+    private long way(DiscoveryClient.Watch w) {
+        return world.network.delay(w.zone(), 0) + (long) late.draw(chance);
+    }
+
+    private void deliverShuffled() {
+        for (int i = shuffled.size() - 1; i > 0; i--) {
+            Collections.swap(shuffled, i, chance.below(i + 1));
+        }
+        shuffled.forEach(Runnable::run);
+        shuffled.clear();
+    }
+
+    /** A call that asks for a watch. */
+    void call(DiscoveryClient.Watch w) {
+        calls++;
+        long now = world.queue.now();
+        if (down) {
+            failedCalls++;
+            world.queue.after(world.network.delay(w.zone(), 0), w::fail);
+            return;
+        }
+        if (silent) {
+            failedCalls++;
+            return;
+        }
+        long cost = spec.asked() ? spec.callUs() : 0;
+        busyUntil = Math.max(busyUntil, now) + cost;
+        if (busyUntil - now > spec.timeoutUs()) {
+            failedCalls++;
+            busyUntil -= cost;
+            world.queue.after(spec.timeoutUs(), w::fail);
+            return;
+        }
+        world.queue.after(busyUntil - now + way(w), () -> {
+            if (down) {
+                w.fail();
+            } else if (!silent && !w.over()) {
+                watches.add(w);
+                w.begin();
+                if (w.toldTo >= version()) {
+                    // Nothing changed: the answer says so.
+                    w.hear(new News(version(), false, List.of()));
+                } else {
+                    tell(w);
+                }
+            }
+        });
+    }
+
+    void leave(DiscoveryClient.Watch w) {
+        watches.remove(w);
+    }
+
+    /** Down: watches end, calls fail. */
+    void down(boolean on) {
+        down = on;
+        if (on) {
+            for (DiscoveryClient.Watch w : List.copyOf(watches)) {
+                world.queue.after(world.network.delay(w.zone(), 0), w::fail);
+            }
+            watches.clear();
+        }
+    }
+
+    /** Silent: what is open stays open and says nothing, not even that it is there. */
+    void silent(boolean on) {
+        silent = on;
+        for (DiscoveryClient.Watch w : List.copyOf(watches)) {
+            if (on) {
+                w.silence((long) (HEARTBEAT_US * chance.unit()));
+            } else {
+                w.begin();
+                tell(w);
+            }
+        }
+    }
+
+    /** What is told takes this much longer. */
+    void late(Range by) {
+        late = by;
+    }
+
+    /** The next so many lists are told in any order; 0 ends it. */
+    void shuffle(int lists) {
+        shuffle = lists;
+        if (lists == 0) {
+            deliverShuffled();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/Section.java
@@ -0,0 +1,315 @@
+package mulleinfront.emulator;
+
+import java.math.BigDecimal;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlPosition;
+import org.tomlj.TomlTable;
+
+/**
+ * One table of a scenario file, read strictly: every value has its form and unit, ranges run upwards, and a key
+ * that nobody asked for is an error. Whatever is wrong is said with file, line and reason.
+ */
+final class Section {
+    private static final Map<String, Long> UNITS = Map.of("us", 1L, "ms", 1_000L, "s", 1_000_000L,
+            "m", 60_000_000L, "h", 3_600_000_000L);
+
+    private final String file;
+    private final TomlTable table;
+    private final String name;
+    private final int line;
+    /** The same table of the world that this scenario stands on; null if it stands on none. */
+    private final Section base;
+    private final Set<String> asked = new HashSet<>();
+
+    Section(String file, TomlTable table, String name, int line, Section base) {
+        this.file = file;
+        this.table = table;
+        this.name = name;
+        this.line = line;
+        this.base = base;
+    }
+
+    int line() {
+        return line;
+    }
+
+    /** Whether the scenario itself says it, rather than the world that it stands on. */
+    boolean says(String key) {
+        return table.contains(List.of(key));
+    }
+
+    /** It may be there and does not count: the scenario says in another way what its world says by this. */
+    void pass(String key) {
+        asked.add(key);
+    }
+
+    boolean has(String key) {
+        return says(key) || base != null && base.has(key);
+    }
+
+    Section table(String key) throws ScenarioException {
+        asked.add(key);
+        Object value = table.get(List.of(key));
+        Section under = base == null ? null : base.table(key);
+        if (value == null) {
+            return new Section(file, Toml.parse(""), key, line, under);
+        }
+        if (value instanceof TomlTable t) {
+            return new Section(file, t, key, at(key), under);
+        }
+        throw wrong(key, "must be a table: [" + key + "]");
+    }
+
+    /** An array of tables, {@code [[key]]}. */
+    List<Section> tables(String key) throws ScenarioException {
+        asked.add(key);
+        Object value = table.get(List.of(key));
+        List<Section> all = new ArrayList<>();
+        if (value == null) {
+            return base == null ? all : base.tables(key);
+        }
+        if (!(value instanceof TomlArray array)) {
+            throw wrong(key, "must be an array of tables: [[" + key + "]]");
+        }
+        for (int i = 0; i < array.size(); i++) {
+            if (!(array.get(i) instanceof TomlTable)) {
+                throw wrong(key, "must be an array of tables: [[" + key + "]]");
+            }
+            all.add(new Section(file, array.getTable(i), key, array.inputPositionOf(i).line(), null));
+        }
+        return all;
+    }
+
+    /** The same, but none of the world that the scenario stands on. */
+    List<Section> ownTables(String key) throws ScenarioException {
+        asked.add(key);
+        return says(key) ? tables(key) : List.of();
+    }
+
+    ScenarioException wrong(String key, String reason) {
+        if (!says(key) && base != null && base.has(key)) {
+            return base.wrong(key, reason);
+        }
+        return new ScenarioException(file + ":" + at(key) + ": " + (name.isEmpty() ? "" : name + ".") + key
+                + ": " + reason);
+    }
+
+    ScenarioException wrong(String reason) {
+        return new ScenarioException(file + ":" + line + ": " + name + ": " + reason);
+    }
+
+    private int at(String key) {
+        TomlPosition position = table.inputPositionOf(List.of(key));
+        return position == null ? line : position.line();
+    }
+
+    /** To be called when all is read: whatever is left is a slip of the pen. */
+    void done() throws ScenarioException {
+        for (String key : table.keySet()) {
+            if (!asked.contains(key)) {
+                throw wrong(key, "unknown key");
+            }
+        }
+        if (base != null) {
+            base.asked.addAll(asked);
+            base.done();
+        }
+    }
+
+    private Object get(String key, boolean needed) throws ScenarioException {
+        asked.add(key);
+        Object value = table.get(List.of(key));
+        if (value == null && base != null) {
+            value = base.get(key, false);
+        }
+        if (value == null && needed) {
+            throw wrong("missing " + key);
+        }
+        return value;
+    }
+
+    String text(String key, String absent) throws ScenarioException {
+        Object value = get(key, absent == null);
+        if (value == null) {
+            return absent;
+        }
+        if (value instanceof String s) {
+            return s;
+        }
+        throw wrong(key, "must be a text");
+    }
+
+    boolean flag(String key, boolean absent) throws ScenarioException {
+        Object value = get(key, false);
+        if (value == null) {
+            return absent;
+        }
+        if (value instanceof Boolean b) {
+            return b;
+        }
+        throw wrong(key, "must be true or false");
+    }
+
+    /** One of some words. */
+    <E extends Enum<E>> E word(String key, E absent, Class<E> words) throws ScenarioException {
+        String text = text(key, absent == null ? null : form(absent));
+        for (E e : words.getEnumConstants()) {
+            if (form(e).equals(text)) {
+                return e;
+            }
+        }
+        List<String> known = new ArrayList<>();
+        for (E e : words.getEnumConstants()) {
+            known.add(form(e));
+        }
+        throw wrong(key, "'" + text + "' is none of " + String.join(", ", known));
+    }
+
+    static String form(Enum<?> word) {
+        return word.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
+    }
+
+    List<String> texts(String key) throws ScenarioException {
+        Object value = get(key, false);
+        List<String> all = new ArrayList<>();
+        if (value == null) {
+            return all;
+        }
+        if (!(value instanceof TomlArray array)) {
+            throw wrong(key, "must be a list of texts");
+        }
+        for (int i = 0; i < array.size(); i++) {
+            if (!(array.get(i) instanceof String s)) {
+                throw wrong(key, "must be a list of texts");
+            }
+            all.add(s);
+        }
+        return all;
+    }
+
+    int count(String key, Integer absent, int least) throws ScenarioException {
+        Object value = get(key, absent == null);
+        if (value == null) {
+            return absent;
+        }
+        if (value instanceof Long l && l >= least && l <= 10_000_000) {
+            return (int) (long) l;
+        }
+        throw wrong(key, "must be a whole number, " + least + " or more");
+    }
+
+    double number(String key, Double absent, double least) throws ScenarioException {
+        Object value = get(key, absent == null);
+        return value == null ? absent : plain(key, value, least);
+    }
+
+    Range numbers(String key, Range absent, double least) throws ScenarioException {
+        return range(key, absent, v -> plain(key, v, least));
+    }
+
+    private double plain(String key, Object value, double least) throws ScenarioException {
+        double d = value instanceof Long l ? l : value instanceof Double f ? f : Double.NaN;
+        if (!(d >= least) || Double.isInfinite(d)) {
+            throw wrong(key, "must be a plain number, " + BigDecimal.valueOf(least).stripTrailingZeros()
+                    .toPlainString() + " or more");
+        }
+        return d;
+    }
+
+    /** A time in microseconds: a number with its unit, as "250ms". */
+    long time(String key, Long absent) throws ScenarioException {
+        Object value = get(key, absent == null);
+        return value == null ? absent : Math.round(time(key, value));
+    }
+
+    Range times(String key, Range absent) throws ScenarioException {
+        return range(key, absent, v -> time(key, v));
+    }
+
+    private double time(String key, Object value) throws ScenarioException {
+        String text = value instanceof String s ? s.strip() : String.valueOf(value);
+        int unit = text.length();
+        while (unit > 0 && Character.isLetter(text.charAt(unit - 1))) {
+            unit--;
+        }
+        Long factor = UNITS.get(text.substring(unit));
+        if (factor == null) {
+            throw wrong(key, "'" + text + "' is no time: a number with us, ms, s, m or h, as \"250ms\"");
+        }
+        return digits(key, text, text.substring(0, unit)) * factor;
+    }
+
+    /** A part of 1: a percentage, as "17%". */
+    double share(String key, Double absent, double most) throws ScenarioException {
+        Object value = get(key, absent == null);
+        return value == null ? absent : share(key, value, most);
+    }
+
+    Range shares(String key, Range absent, double most) throws ScenarioException {
+        return range(key, absent, v -> share(key, v, most));
+    }
+
+    private double share(String key, Object value, double most) throws ScenarioException {
+        String text = value instanceof String s ? s.strip() : String.valueOf(value);
+        if (!text.endsWith("%")) {
+            throw wrong(key, "'" + text + "' is no share: a percentage, as \"17%\"");
+        }
+        double part = digits(key, text, text.substring(0, text.length() - 1)) / 100;
+        if (part > most) {
+            throw wrong(key, "'" + text + "' is more than " + Math.round(most * 100) + "%");
+        }
+        return part;
+    }
+
+    /** Requests a second, as "240/s". */
+    double rate(String key, Double absent) throws ScenarioException {
+        Object value = get(key, absent == null);
+        if (value == null) {
+            return absent;
+        }
+        if (value instanceof String s && s.strip().endsWith("/s")) {
+            return digits(key, s, s.strip().substring(0, s.strip().length() - 2));
+        }
+        throw wrong(key, "'" + value + "' is no rate: a number for each second, as \"240/s\"");
+    }
+
+    private double digits(String key, String whole, String number) throws ScenarioException {
+        try {
+            double d = new BigDecimal(number.strip()).doubleValue();
+            if (d >= 0 && d <= 1e12) {
+                return d;
+            }
+        } catch (NumberFormatException e) {
+            // said below
+        }
+        throw wrong(key, "'" + whole + "' is no number with its unit");
+    }
+
+    private interface Reading {
+        double of(Object value) throws ScenarioException;
+    }
+
+    private Range range(String key, Range absent, Reading reading) throws ScenarioException {
+        Object value = get(key, absent == null);
+        if (value == null) {
+            return absent;
+        }
+        if (!(value instanceof TomlArray array)) {
+            return Range.of(reading.of(value));
+        }
+        if (array.size() != 2) {
+            throw wrong(key, "a range has two ends, as [\"1ms\", \"2ms\"]");
+        }
+        Range range = new Range(reading.of(array.get(0)), reading.of(array.get(1)));
+        if (range.low() > range.high()) {
+            throw wrong(key, "the range is turned round: " + array.get(0) + " is more than " + array.get(1));
+        }
+        return range;
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/Sweep.java
@@ -0,0 +1,74 @@
+package mulleinfront.emulator;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
+
+/**
+ * One scenario under many seeds. Each world is played whole on one thread and shares nothing with the others, and
+ * what is said of them goes by their seeds, so nothing depends on how many are played at once.
+ */
+public final class Sweep {
+    private Sweep() { }
+
+    /**
+     * What is kept of one world.
+     *
+     * @param breach its first broken rule in words, or null
+     */
+    public record Played(long seed, double service, int breaches, String breach, String sha256) { }
+
+    /**
+     * Plays seeds {@code from} to {@code to}, both included.
+     *
+     * @param jobs worlds at once, at least 1
+     * @param progress told of each world when it is done, in the order of the seeds
+     */
+    public static List<Played> play(Scenario scenario, long from, long to, int jobs, Consumer<Played> progress)
+            throws InterruptedException {
+        ExecutorService pool = Executors.newFixedThreadPool(jobs, task -> {
+            Thread thread = new Thread(task, "world");
+            thread.setDaemon(true);
+            return thread;
+        });
+        try {
+            List<Future<Played>> worlds = new ArrayList<>();
+            for (long seed = from; seed <= to; seed++) {
+                long one = seed;
+                worlds.add(pool.submit(() -> play(scenario, one)));
+            }
+            List<Played> all = new ArrayList<>();
+            for (Future<Played> world : worlds) {
+                Played played = world.get();
+                all.add(played);
+                progress.accept(played);
+            }
+            return all;
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a world ended by " + e.getCause(), e.getCause());
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+
+    private static Played play(Scenario scenario, long seed) {
+        World.Result r = World.of(scenario, seed, null).play();
+        return new Played(seed, r.service().service(), r.breachCount(),
+                r.breaches().isEmpty() ? null : r.breaches().get(0).toString(), r.sha256());
+    }
+
+    /** The seeds of least service, the worst first. */
+    public static List<Played> worst(List<Played> all, int count) {
+        return all.stream().sorted(Comparator.comparingDouble(Played::service).thenComparingLong(Played::seed))
+                .limit(count).toList();
+    }
+
+    public static double mean(List<Played> all) {
+        return all.stream().mapToDouble(Played::service).average().orElse(0);
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/Trace.java
@@ -0,0 +1,285 @@
+package mulleinfront.emulator;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.List;
+import mulleinfront.Balancer;
+import mulleinfront.Balancer.Actions;
+import mulleinfront.Balancer.AttemptEnd;
+import mulleinfront.Balancer.Endpoint;
+import mulleinfront.Balancer.Outcome;
+import mulleinfront.Balancer.Request;
+import mulleinfront.Balancer.Source;
+import mulleinfront.core.Core;
+
+/**
+ * The decision trace: one line for each event that a decision module was told and for each of its actions, in
+ * their order, with the virtual time and the client proxy's number; and SHA-256 over all lines. Two runs with
+ * one digest made the same decisions.
+ *
+ * <pre>
+ *   1250000 p3 request q17 class=1 key=k9 budget=2465000 tenant=4
+ *   1250000 p3 > send q17 new-2core-4 600000
+ *   1341277 p3 ended q17 0 OK done 91277
+ * </pre>
+ */
+final class Trace {
+    private static final int ROOM = 32 * 1024;
+
+    private final MessageDigest digest;
+    private final OutputStream file;
+    private final byte[] line = new byte[ROOM];
+    private final byte[] digits = new byte[20];
+    private int used;
+    private long lines;
+
+    /**
+     * @param file where the lines go too, or null
+     */
+    Trace(OutputStream file) {
+        try {
+            this.digest = MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+        this.file = file;
+    }
+
+    /** The digest so far, in hex; the trace goes on. */
+    String sha256() {
+        flush();
+        try {
+            return HexFormat.of().formatHex(((MessageDigest) digest.clone()).digest());
+        } catch (CloneNotSupportedException e) {
+            throw new IllegalStateException("SHA-256 can be cloned", e);
+        }
+    }
+
+    long lines() {
+        return lines;
+    }
+
+    void flush() {
+        digest.update(line, 0, used);
+        if (file != null) {
+            try {
+                file.write(line, 0, used);
+            } catch (IOException e) {
+                throw new UncheckedIOException("the trace: " + e.getMessage(), e);
+            }
+        }
+        used = 0;
+    }
+
+    private Trace begin(long now, int proxy, String what) {
+        number(now);
+        used(" p");
+        number(proxy);
+        return word(what);
+    }
+
+    private void end() {
+        room(1);
+        line[used++] = '\n';
+        lines++;
+    }
+
+    private void room(int bytes) {
+        if (used + bytes > ROOM) {
+            flush();
+        }
+    }
+
+    private Trace word(String text) {
+        used(" ");
+        return used(text);
+    }
+
+    private Trace used(String text) {
+        int length = text.length();
+        for (int i = 0; i < length; i++) {
+            if (text.charAt(i) > 0x7f || length > ROOM) {
+                byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+                flush();
+                digest.update(bytes);
+                if (file != null) {
+                    try {
+                        file.write(bytes);
+                    } catch (IOException e) {
+                        throw new UncheckedIOException("the trace: " + e.getMessage(), e);
+                    }
+                }
+                return this;
+            }
+        }
+        room(length);
+        for (int i = 0; i < length; i++) {
+            line[used++] = (byte) text.charAt(i);
+        }
+        return this;
+    }
+
+    private Trace word(long n) {
+        used(" ");
+        number(n);
+        return this;
+    }
+
+    private Trace number(long n) {
+        if (n == Long.MIN_VALUE) {
+            return used(Long.toString(n));
+        }
+        room(21);
+        if (n < 0) {
+            line[used++] = '-';
+            n = -n;
+        }
+        int count = 0;
+        do {
+            digits[count++] = (byte) ('0' + n % 10);
+            n /= 10;
+        } while (n > 0);
+        while (count > 0) {
+            line[used++] = digits[--count];
+        }
+        return this;
+    }
+
+    /** A maker whose modules and their actions are written down under a client proxy's number. */
+    Core.Maker around(Core.Maker maker, int proxy, EventQueue time) {
+        return (settings, seed, now, actions) -> {
+            begin(now, proxy, "start").word(seed).end();
+            return new Told(maker.create(settings, seed, now, new Decided(actions, proxy, time)), proxy);
+        };
+    }
+
+    /** Events on their way to the module. */
+    private final class Told implements Balancer {
+        private final Balancer module;
+        private final int proxy;
+
+        Told(Balancer module, int proxy) {
+            this.module = module;
+            this.proxy = proxy;
+        }
+
+        @Override
+        public void onEndpoints(long now, Source source, List<Endpoint> endpoints) {
+            begin(now, proxy, "list").word(source.name());
+            for (Endpoint e : endpoints) {
+                word(e.id()).used("=").used(e.availability().name()).used("@").number(e.startedAtUs());
+            }
+            end();
+            module.onEndpoints(now, source, endpoints);
+        }
+
+        @Override
+        public void onDiscoveryFailed(long now) {
+            begin(now, proxy, "discovery-failed").end();
+            module.onDiscoveryFailed(now);
+        }
+
+        @Override
+        public void onRequest(long now, Request r) {
+            begin(now, proxy, "request").word(r.id()).used(" class=").number(r.classIndex()).used(" key=")
+                    .used(String.valueOf(r.key())).used(" budget=").number(r.budgetUs()).used(" tenant=")
+                    .number(r.tenant()).end();
+            module.onRequest(now, r);
+        }
+
+        @Override
+        public void onRequestGone(long now, String requestId) {
+            begin(now, proxy, "gone").word(requestId).end();
+            module.onRequestGone(now, requestId);
+        }
+
+        @Override
+        public void onStreamStarted(long now, String requestId, int attempt) {
+            begin(now, proxy, "stream").word(requestId).word(attempt).end();
+            module.onStreamStarted(now, requestId, attempt);
+        }
+
+        @Override
+        public void onAttemptEnded(long now, AttemptEnd e) {
+            begin(now, proxy, "ended").word(e.requestId()).word(e.attempt()).word(e.outcome().name())
+                    .word(e.requestDone() ? "done" : "open").word(e.lagUs()).end();
+            module.onAttemptEnded(now, e);
+        }
+
+        @Override
+        public void onProbeEnded(long now, String endpointId, Outcome outcome, long lagUs) {
+            begin(now, proxy, "probed").word(endpointId).word(outcome.name()).word(lagUs).end();
+            module.onProbeEnded(now, endpointId, outcome, lagUs);
+        }
+
+        @Override
+        public void onTimer(long now) {
+            begin(now, proxy, "timer").end();
+            module.onTimer(now);
+        }
+    }
+
+    /** Actions on their way to the core. */
+    private final class Decided implements Actions {
+        private final Actions actions;
+        private final int proxy;
+        private final EventQueue time;
+
+        Decided(Actions actions, int proxy, EventQueue time) {
+            this.actions = actions;
+            this.proxy = proxy;
+            this.time = time;
+        }
+
+        private Trace action(String what) {
+            return begin(time.now(), proxy, ">").word(what);
+        }
+
+        @Override
+        public void send(String requestId, String endpointId, long timeoutUs) {
+            action("send").word(requestId).word(endpointId).word(timeoutUs).end();
+            actions.send(requestId, endpointId, timeoutUs);
+        }
+
+        @Override
+        public void refuse(String requestId, long retryAfterUs) {
+            action("refuse").word(requestId).word(retryAfterUs).end();
+            actions.refuse(requestId, retryAfterUs);
+        }
+
+        @Override
+        public void fail(String requestId) {
+            action("fail").word(requestId).end();
+            actions.fail(requestId);
+        }
+
+        @Override
+        public void cancel(String requestId, int attempt) {
+            action("cancel").word(requestId).word(attempt).end();
+            actions.cancel(requestId, attempt);
+        }
+
+        @Override
+        public void probe(String endpointId) {
+            action("probe").word(endpointId).end();
+            actions.probe(endpointId);
+        }
+
+        @Override
+        public void subscribe() {
+            action("subscribe").end();
+            actions.subscribe();
+        }
+
+        @Override
+        public void wakeAt(long atUs) {
+            action("wake").word(atUs).end();
+            actions.wakeAt(atUs);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/World.java
@@ -0,0 +1,256 @@
+package mulleinfront.emulator;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import mulleinfront.Balancer;
+import mulleinfront.Balancer.Availability;
+import mulleinfront.Balancer.DedupScope;
+import mulleinfront.core.Core;
+
+/**
+ * A world on virtual time: client proxies (the real core and module, sharing nothing), servers, clients, network
+ * and discovery on one queue of events and one seed. It is played once, on one thread.
+ */
+public final class World {
+    final Scenario scenario;
+    final EventQueue queue = new EventQueue();
+    final Network network;
+    final Registry registry;
+    final Auditor audit;
+    final Tally tally;
+    final Trace trace;
+    final List<Host> hosts = new ArrayList<>();
+    final List<Proxy> proxies = new ArrayList<>();
+    final Clients clients;
+    private final long seed;
+    private final Map<String, Host> byId = new HashMap<>();
+    private final List<Host> byAddress = new ArrayList<>();
+    private final Map<Object, ServerModel.Group> groups = new LinkedHashMap<>();
+
+    /**
+     * @param trace where the decisions go
+     * @param maker makes each client proxy's module; a test's own can be broken on purpose
+     */
+    World(Scenario scenario, long seed, Trace trace, Core.Maker maker) {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.trace = trace;
+        this.network = new Network(scenario.network(), scenario.zones().size(), chance("network"));
+        this.audit = new Auditor(scenario);
+        this.tally = new Tally(scenario);
+        this.registry = new Registry(this, chance("discovery"));
+        buildHosts();
+        for (int i = 0; i < scenario.proxies().count(); i++) {
+            proxies.add(new Proxy(this, i, i % scenario.zones().size(), trace.around(maker, i, queue)));
+        }
+        this.clients = new Clients(this);
+        startProxies();
+        clients.begin(scenario.proxies().startWithinUs());
+        new Script(this).schedule();
+    }
+
+    /** A world as it is shipped: with the real module. */
+    public static World of(Scenario scenario, long seed, java.io.OutputStream traceFile) {
+        return new World(scenario, seed, new Trace(traceFile), Balancer::create);
+    }
+
+    Chance chance(String concern) {
+        return Chance.of(seed, concern);
+    }
+
+    // ---- building ------------------------------------------------------------------------------------
+
+    private void buildHosts() {
+        int number = 0;
+        int kind = 0;
+        for (Scenario.Servers group : scenario.servers()) {
+            for (int i = 0; i < group.count(); i++, number++) {
+                Host host = add(group.name() + "-" + i, number % scenario.zones().size(), kind,
+                        number / group.cell(), group);
+                host.life = process(host, false);
+                registry.know(new Registry.Entry(host.listed(Availability.READY), host.address));
+            }
+            kind++;
+        }
+    }
+
+    /** A machine of a group, drawn under its name, with an address and no process yet. */
+    Host add(String id, int zone, int kind, int cell, Scenario.Servers group) {
+        Chance chance = chance("server " + id);
+        ServerModel.Machine machine = new ServerModel.Machine(group.cores(), group.speed().draw(chance),
+                group.slots(), group.room(), group.connections(), group.handshakeWork().draw(chance),
+                group.idleCloseUs(), group.errors(), (long) group.reportEvery().draw(chance),
+                group.probeWork(), group.probes(), group.deepProbes(), group.coldFrom().draw(chance),
+                (long) group.coldFor().draw(chance), group.coldWork(), group.pauseEveryUs(), group.pause(),
+                group.crowdAt(), group.crowdLoss(), group.linger(), group.stops(), group.dropsExpired(),
+                group.keyMemoryUs(), group.keySaving(), group.keysKept());
+        Host host = new Host(id, zone, kind, cell, group.weight(), machine,
+                new Host.Budget(scenario.rules().coldForUs(), scenario.rules().coldMultiple()), chance);
+        host.address = byAddress.size();
+        byAddress.add(host);
+        byId.put(id, host);
+        hosts.add(host);
+        return host;
+    }
+
+    private void startProxies() {
+        Scenario.Proxies spec = scenario.proxies();
+        Chance chance = chance("starts");
+        for (Proxy p : proxies) {
+            queue.after((long) (spec.startWithinUs() * chance.unit()), () -> p.start(known()));
+        }
+    }
+
+    /** The list that a client proxy finds at its start. */
+    Registry.News known() {
+        Scenario.Proxies spec = scenario.proxies();
+        switch (spec.known()) {
+            case EMPTY -> {
+                return new Registry.News(0, true, List.of());
+            }
+            case STALE -> {
+                Registry.News old = registry.at(Math.max(0, queue.now() - spec.knownAgeUs()));
+                List<Registry.Entry> entries = new ArrayList<>(old.entries());
+                for (int i = 0; i < spec.ghosts(); i++) {
+                    entries.add(new Registry.Entry(new Balancer.Endpoint("ghost-" + i,
+                            i % scenario.zones().size(), 0, 0, Availability.READY, 1, 0), Integer.MAX_VALUE - i));
+                }
+                // Discovery no longer tells of changes that long ago: who has ghosts is sent the whole list.
+                return new Registry.News(spec.ghosts() > 0 ? -1 : old.version(), true, entries);
+            }
+            default -> {
+                return registry.at(queue.now());
+            }
+        }
+    }
+
+    // ---- servers -------------------------------------------------------------------------------------
+
+    /** The machine at an address, also one that has left it; null where there never was one. */
+    Host at(int address) {
+        return address < byAddress.size() ? byAddress.get(address) : null;
+    }
+
+    Host host(String id) {
+        return byId.get(id);
+    }
+
+    /** Begins a process on a machine. */
+    ServerModel process(Host host, boolean cold) {
+        host.budget.clear();
+        ServerModel life = new ServerModel(host.machine, queue, host.chance, groupOf(host),
+                (job, dropped) -> audit.ran(job.requestId, host.id, dropped, queue.now()), cold);
+        tally.began(host, life);
+        return life;
+    }
+
+    private ServerModel.Group groupOf(Host host) {
+        DedupScope scope = scenario.classes().stream().map(c -> c.type().scope()).filter(s -> s != null)
+                .findFirst().orElse(DedupScope.ALL);
+        Object group = switch (scope) {
+            case ALL -> "all";
+            case ZONE -> "zone " + host.zone;
+            case CELL -> "cell " + host.cell;
+        };
+        return groups.computeIfAbsent(group, g -> new ServerModel.Group());
+    }
+
+    /** The process of a server starts, cold, at its address or at a new one. */
+    void start(Host host, boolean moved) {
+        if (moved) {
+            host.address = byAddress.size();
+            byAddress.add(host);
+        }
+        host.startedAt = queue.now();
+        host.life = process(host, true);
+        audit.started(host.id, host.startedAt);
+        registry.happened(host, Availability.READY, false);
+    }
+
+    /** A server is told to end: it finishes what it has. */
+    void drain(Host host) {
+        if (host.alive()) {
+            host.life.drain();
+            registry.happened(host, Availability.DRAINING, false);
+        }
+    }
+
+    /** A process ends: its connections are reset. */
+    void stop(Host host) {
+        if (host.life != null) {
+            host.life.stop();
+        }
+        resetAll(host);
+    }
+
+    void resetAll(Host host) {
+        List.copyOf(host.links).forEach(this::reset);
+    }
+
+    /** The server's end of a connection is gone, and its client hears of it. */
+    void reset(Link link) {
+        release(link);
+        if (network.passes(link.owner.zone(), link.host)) {
+            queue.after(network.delay(link.host.zone, link.owner.zone()), () -> link.owner.broken(link));
+        }
+    }
+
+    /** The server's end of a connection closes. */
+    void release(Link link) {
+        if (link.accepted) {
+            link.accepted = false;
+            link.host.links.remove(link);
+            link.life.disconnect();
+        }
+    }
+
+    /** Work came to a server; a cold one may fall over by it and stays down. */
+    void arrived(Host host, int proxy, String requestId, double work) {
+        ServerModel life = host.life;
+        tally.arrived(work);
+        if (life.warmth() >= 1) {
+            return;
+        }
+        double capacity = life.machine().capacity() * life.warmth();
+        audit.arrivedCold(host.id, proxy, requestId, work, capacity, queue.now());
+        if (host.budget.over(queue.now(), work, false, capacity)) {
+            life.fall();
+            resetAll(host);
+            registry.happened(host, Availability.GONE, true);
+        }
+    }
+
+    // ---- running -------------------------------------------------------------------------------------
+
+    /** Plays it to its end. */
+    public Result play() {
+        playUntil(scenario.lengthUs() + scenario.settleUs());
+        return finish();
+    }
+
+    void playUntil(long instant) {
+        queue.runUntil(instant);
+    }
+
+    Result finish() {
+        audit.finish(queue.now());
+        return new Result(scenario, seed, tally.report(this), audit.breaches(), audit.breachCount(),
+                trace.sha256(), trace.lines(), queue.ran());
+    }
+
+    /**
+     * How a world went.
+     *
+     * @param service what clients had of it
+     * @param breaches the first broken rules, by time
+     * @param breachCount all of them
+     * @param sha256 the digest of all decisions
+     * @param decisions lines of the decision trace
+     * @param events tasks that the world's queue ran
+     */
+    public record Result(Scenario scenario, long seed, ServiceReport service, List<Auditor.Breach> breaches,
+            int breachCount, String sha256, long decisions, long events) { }
+}
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -32,6 +32,7 @@
 import mulleinfront.Balancer.Availability;
 import mulleinfront.Balancer.Endpoint;
 import mulleinfront.Balancer.Source;
+import mulleinfront.core.ListOrder;
 
 /**
  * Discovery's watch, and the hosts as last listed. A watch that ends, falls silent or talks nonsense has
@@ -63,6 +64,7 @@
     /** Numbers by name. A name that the settings lack gets a number of its own: zones must not merge. */
     private final Map<String, Integer> zones = new HashMap<>();
     private final Map<String, Integer> kinds = new HashMap<>();
+    private final ListOrder order = new ListOrder();
     private long version = -1;
     private Watch watch;
 
@@ -102,6 +104,7 @@
             stop();
             address = to;
             version = -1;
+            order.forget();
             ask(MOVED_SILENCE_MS);
         }
     }
@@ -125,17 +128,15 @@
     }
 
     /**
-     * Takes over a list, first for the sockets and then for the module. Changes older than what is held tell
-     * nothing new and would undo a drain; a whole list is always the latest word of whoever sends it.
+     * Takes over a list, first for the sockets and then for the module. Of changes that come late only what
+     * is news counts: what a newer version has overtaken would undo a drain.
      */
     void take(Listing listing, Source source) {
-        if (source == Source.DELTA && listing.version() < version) {
-            return;
-        }
-        version = listing.version();
+        boolean whole = source != Source.DELTA;
+        version = whole ? listing.version() : Math.max(version, listing.version());
         List<Endpoint> endpoints = new ArrayList<>();
         Map<String, Upstream.Host> left = source == Source.DELTA ? new HashMap<>() : new HashMap<>(hosts);
-        for (Listing.Entry e : listing.entries()) {
+        for (Listing.Entry e : order.news(listing.version(), whole, listing.entries(), Listing.Entry::id)) {
             left.remove(e.id());
             endpoints.add(new Endpoint(e.id(), number(zones, e.zone()), e.cell(), number(kinds, e.kind()),
                     e.availability(), e.weight(), e.startedMs() * 1000));
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import mulleinfront.proxy.Peers.Client;
 import mulleinfront.proxy.Peers.Discovery;
 import mulleinfront.proxy.Peers.Seen;
@@ -73,18 +74,18 @@
     }
 
     @Test
-    void changesOlderThanWhatIsHeldUndoNoDrain() throws Exception {
-        // Guards rule 3 against a list that comes late: five told out of order leave the newest in force.
-        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+    void changesThatComeLateUndoNoDrainAndHideNone() throws Exception {
+        // Guards rule 3 against lists told out of order: each host goes by the newest version that named it.
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"), Peers.host("t", "127.0.0.1:1", "in_service"));
         Seen watch = discovery.asked();
         for (int version : new int[] {3, 6, 4, 2, 5}) {
-            Discovery.push(watch, Peers.list(version, false,
-                    Peers.host("s", "127.0.0.1:1", version == 6 ? "terminating" : "in_service")));
+            Discovery.push(watch, Peers.list(version, false, Peers.host(version == 5 ? "t" : "s",
+                    "127.0.0.1:1", version >= 5 ? "terminating" : "in_service")));
+        }
+        for (String expected : List.of("DELTA [s 1 READY]", "DELTA [s 1 DRAINING]", "DELTA []", "DELTA []",
+                "DELTA [t 1 DRAINING]")) {
+            assertEquals(expected, Peers.next(module.lists, expected));
         }
-        Discovery.push(watch, Peers.list(7, false, Peers.host("t", "127.0.0.1:1", "in_service")));
-        assertEquals("DELTA [s 1 READY]", Peers.next(module.lists, "version 3"));
-        assertEquals("DELTA [s 1 DRAINING]", Peers.next(module.lists, "version 6"));
-        assertEquals("DELTA [t 1 READY]", Peers.next(module.lists, "version 7, after three older ones"));
     }
 
     @Test
