--- a/src/main/java/mulleinfront/emulator/DiscoveryClient.java
+++ b/src/main/java/mulleinfront/emulator/DiscoveryClient.java
@@ -83,7 +83,7 @@
             }
         }
         left.stream().sorted().forEach(id -> wire.hangUp(addresses.remove(id)));
-        core.listed(source, endpoints);
+        world.fitting.listed(core, source, endpoints, time);
     }
 
     /** One call, and the watch that it becomes. It fails once, however it ends. */
--- a/src/main/java/mulleinfront/emulator/Proxy.java
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -102,7 +102,7 @@
         private final DiscoveryClient discovery = new DiscoveryClient(world, this, number, zone);
         private final EmulatedWire wire = new EmulatedWire(world, this, number, zone, discovery);
         private final Core<Call, Answer> core =
-                new Core<>(world.scenario.settings(), this, wire, world.audit::defect);
+                new Core<>(world.scenario.settings(), this, world.fitting.wire(wire, this), world.audit::defect);
         private final Map<Clients.Try, Core.Exchange<Call, Answer>> open = new LinkedHashMap<>();
         private boolean alive = true;
         private boolean listening = true;
@@ -136,7 +136,7 @@
         private Core.Exchange<Call, Answer> take(Clients.Try t) {
             long now = now();
             world.audit.taken(number, t.call.id(), t.call.classIndex(), now, t.deadlineAt);
-            core.take(new Caller<Call, Answer>() {
+            core.take(world.fitting.caller(new Caller<Call, Answer>() {
                 @Override
                 public void opened(Core.Exchange<Call, Answer> exchange) {
                     open.put(t, exchange);
@@ -159,7 +159,7 @@
                     world.audit.failed(number, t.call.id(), now());
                     over(t, Clients.How.FAILED, 0);
                 }
-            }, t.call.id(), t.call.classIndex(), t.call.key(), Math.max(1, (t.deadlineAt - t.sentAt) / 1000), now,
+            }, this), t.call.id(), t.call.classIndex(), t.call.key(), Math.max(1, (t.deadlineAt - t.sentAt) / 1000), now,
                     0, t.ask.tenant, false, t.call);
             return open.get(t);
         }
--- a/src/main/java/mulleinfront/emulator/ScenarioReader.java
+++ b/src/main/java/mulleinfront/emulator/ScenarioReader.java
@@ -1,6 +1,7 @@
 package mulleinfront.emulator;
 
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.nio.charset.MalformedInputException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -125,15 +126,17 @@
         Rules rules = rules(root.table("rules"));
         Limits limits = limits(root.table("limits"));
         Proxies proxies = proxies(root.table("proxies"));
-        Service service = service(root.table("service"));
+        Section priced = root.table("service");
+        double overShareWorth = priced.share("over-share-worth", 0.1, 1);
+        Service service = service(priced);
         Load load = load(root.table("load"), servers, classes);
         Scenario world = new Scenario(name(file), title, length, settle, zones, delays,
                 discovery(root.table("discovery")), proxies, clients(root.table("clients")), load, servers,
-                classes, tenants, root.share("over-share-worth", 0.1, 1), limits, rules, service, List.of());
+                classes, tenants, overShareWorth, limits, rules, service, List.of());
         List<Scenario.Fault> faults = new FaultReader(world).read(root.ownTables("fault"));
         root.done();
         return new Scenario(world.name(), title, length, settle, zones, delays, world.discovery(), proxies,
-                world.clients(), load, servers, classes, tenants, world.overShareWorth(), limits, rules, service,
+                world.clients(), load, servers, classes, tenants, overShareWorth, limits, rules, service,
                 faults);
     }
 
@@ -316,7 +319,7 @@
     }
 
     private static String percent(double part) {
-        return Math.round(part * 1000) / 10.0 + "%";
+        return BigDecimal.valueOf(Math.round(part * 1000), 1).stripTrailingZeros().toPlainString() + "%";
     }
 
     private static Limits limits(Section s) throws ScenarioException {
--- a/src/main/java/mulleinfront/emulator/World.java
+++ b/src/main/java/mulleinfront/emulator/World.java
@@ -25,6 +25,7 @@
     final List<Host> hosts = new ArrayList<>();
     final List<Proxy> proxies = new ArrayList<>();
     final Clients clients;
+    final Fitting fitting;
     private final long seed;
     private final Map<String, Host> byId = new HashMap<>();
     private final List<Host> byAddress = new ArrayList<>();
@@ -33,8 +34,10 @@
     /**
      * @param trace where the decisions go
      * @param maker makes each client proxy's module; a test's own can be broken on purpose
+     * @param fitting joins each core with its parts; a test's own can be broken on purpose
      */
-    World(Scenario scenario, long seed, Trace trace, Core.Maker maker) {
+    World(Scenario scenario, long seed, Trace trace, Core.Maker maker, Fitting fitting) {
+        this.fitting = fitting;
         this.scenario = scenario;
         this.seed = seed;
         this.trace = trace;
@@ -54,7 +57,7 @@
 
     /** A world as it is shipped: with the real module. */
     public static World of(Scenario scenario, long seed, java.io.OutputStream traceFile) {
-        return new World(scenario, seed, new Trace(traceFile), Balancer::create);
+        return new World(scenario, seed, new Trace(traceFile), Balancer::create, Fitting.PLAIN);
     }
 
     Chance chance(String concern) {
--- /dev/null
+++ b/src/test/java/mulleinfront/emulator/WorldTest.java
@@ -0,0 +1,311 @@
+package mulleinfront.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import mulleinfront.Balancer;
+import mulleinfront.emulator.Auditor.Rule;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Whole worlds: the hard cases, and the shipped scenarios under a few seeds. */
+class WorldTest {
+    private static long count(Map<String, Long> counts, String name) {
+        return counts.getOrDefault(name, 0L);
+    }
+
+    private static World.Result kept(World.Result result) {
+        assertEquals(List.of(), result.breaches());
+        Map<String, Long> tries = result.service().tries();
+        assertEquals(0, count(tries, "timed-out"), "everything taken has its answer in time");
+        long ended = tries.values().stream().mapToLong(Long::longValue).sum();
+        assertEquals(result.service().counts().get("tries"), ended, "each try has one end");
+        return result;
+    }
+
+    private static World.Result play(String lines) throws Exception {
+        return kept(Worlds.play(lines, 1));
+    }
+
+    static List<Path> shipped() throws Exception {
+        return Worlds.shipped();
+    }
+
+    @ParameterizedTest
+    @MethodSource("shipped")
+    void shippedScenariosKeepTheRules(Path file) throws Exception {
+        Scenario scenario = ScenarioReader.read(file);
+        for (long seed = 1001; seed <= 1006; seed++) {
+            World.Result result = kept(Worlds.world(scenario, seed).play());
+            assertTrue(result.service().service() > 0.6, file + " seed " + seed + ": "
+                    + result.service().service());
+        }
+    }
+
+    @Test
+    void nineScenariosAreShipped() throws Exception {
+        assertTrue(Worlds.shipped().stream().map(p -> p.getFileName().toString()).toList().containsAll(List.of(
+                "calm.toml", "hang.toml", "neighbour.toml", "cold-deploy.toml", "lingering.toml", "vanish.toml",
+                "discovery-down.toml", "proxy-killed.toml", "tsagaan-sar.toml")));
+    }
+
+    @Test
+    void whereServersTakeAndNeverAnswerEveryRequestHasItsTrueAnswerInTime() throws Exception {
+        World.Result result = play("""
+                length = "20s"
+                [[fault]]
+                do = "hang"
+                at = "8s"
+                part = "100%"
+                """);
+        assertTrue(count(result.service().tries(), "failed") > 100, "payouts that may have run have failed: "
+                + result.service().tries());
+        assertTrue(count(result.service().tries(), "refused") > 100, "" + result.service().tries());
+        assertTrue(result.service().windows().get(3).share() < 0.05);
+    }
+
+    @Test
+    void aNeighbourOnAndOffShowsInTheServersOwnFigures() throws Exception {
+        String load = "length = \"40s\"\n[load]\nof-capacity = \"60%\"\n";
+        World.Result calm = play(load);
+        World.Result shared = play(load + """
+                [[fault]]
+                do = "neighbour"
+                at = "5s"
+                for = "30s"
+                part = "50%"
+                takes = "60%"
+                on = ["1s", "3s"]
+                off = ["1s", "3s"]
+                """);
+        assertTrue(wait(shared) > 1.3 * wait(calm), wait(shared) + " us against " + wait(calm));
+    }
+
+    private static double wait(World.Result r) {
+        return r.service().servers().stream().mapToDouble(s -> s.figures().waitSumUs).sum()
+                / r.service().servers().stream().mapToLong(s -> s.figures().begun).sum();
+    }
+
+    @Test
+    void whatAKilledClientProxyHeldIsItsClientsToRetry() throws Exception {
+        World.Result result = play("""
+                length = "20s"
+                [[fault]]
+                do = "kill-proxy"
+                at = "6s"
+                count = 5
+                [[fault]]
+                do = "end-proxy"
+                at = "14s"
+                count = 5
+                """);
+        assertTrue(count(result.service().tries(), "broken") > 0, "killed with requests open");
+        assertTrue(count(result.service().tries(), "unreachable") > 0);
+        assertEquals(15, result.service().counts().get("client proxy starts"));
+        assertTrue(count(result.service().outcomes(), "ok") > 3_000, "it went on");
+    }
+
+    @Test
+    void listsToldOutOfOrderUndoNoDrain() throws Exception {
+        for (long seed = 1; seed <= 20; seed++) {
+            kept(Worlds.play("""
+                    length = "25s"
+                    [discovery]
+                    notice = ["10ms", "50ms"]
+                    period = ["10ms", "300ms"]
+                    [[fault]]
+                    do = "discovery-shuffle"
+                    at = "3s"
+                    for = "18s"
+                    lists = 5
+                    [[fault]]
+                    do = "deploy"
+                    at = "4s"
+                    for = "15s"
+                    part = "100%"
+                    batch = "10%"
+                    drain = "3s"
+                    """, seed));
+        }
+    }
+
+    @Test
+    void nothingIsWrittenToAServerToldToDrainWhileTheConnectionComesUp() throws Exception {
+        // The way to servers takes so long that connections come up well after the decision.
+        String slow = """
+                length = "20s"
+                [network]
+                same = "40ms"
+                cross = "40ms"
+                [rules]
+                drain = "50ms"
+                [discovery]
+                notice = "10ms"
+                period = "10ms"
+                [limits]
+                dial-timeout = "1s"
+                idle-close = "100ms"
+                [[fault]]
+                do = "drain"
+                at = "5s"
+                count = 3
+                [[fault]]
+                do = "drain"
+                at = "9s"
+                count = 3
+                """;
+        World.Result result = play(slow);
+        assertTrue(count(result.service().outcomes(), "ignored") > 0, "" + result.service().outcomes());
+        World.Result unasked = Worlds.world(Worlds.of(slow), 1, Balancer::create, Broken.writesUnasked()).play();
+        assertTrue(unasked.breaches().stream().anyMatch(b -> b.rule() == Rule.DRAINS),
+                "it is the check before the first byte that keeps the rule");
+    }
+
+    @Test
+    void tenThousandRequestsInOneInstantEachHaveOneAnswer() throws Exception {
+        World.Result result = play("""
+                length = "10s"
+                [proxies]
+                count = 1
+                [[fault]]
+                do = "burst"
+                at = "5s"
+                requests = 10000
+                """);
+        assertTrue(result.service().asks() > 10_000);
+    }
+
+    @Test
+    void anHourOfCalmCostsNothing() throws Exception {
+        World.Result result = play("""
+                length = "1h"
+                [load]
+                rate = "0/s"
+                """);
+        assertEquals(0, result.service().asks());
+        assertTrue(result.events() < 100_000, result.events() + " events");
+        assertTrue(result.decisions() < 200, result.decisions() + " lines of decisions");
+    }
+
+    @Test
+    void anIdleWorldThatWakesAfterAnHourServes() throws Exception {
+        World.Result result = play("""
+                length = "61m"
+                [load]
+                rate = "0/s"
+                [[fault]]
+                do = "burst"
+                at = "60m"
+                requests = 20
+                """);
+        assertEquals(20, result.service().asks());
+        assertEquals(20, count(result.service().tries(), "served"));
+    }
+
+    @Test
+    void pushedListsAndAllTroublesAtOnceKeepTheRules() throws Exception {
+        for (long seed = 1; seed <= 5; seed++) {
+            World.Result result = kept(Worlds.play("""
+                    length = "40s"
+                    [discovery]
+                    mode = "push"
+                    [clients]
+                    retries = 3
+                    leave = "3%"
+                    [load]
+                    of-capacity = "90%"
+                    shape = "ramp"
+                    end-of-capacity = "130%"
+                    [[fault]]
+                    do = "reset-before"
+                    at = "2s"
+                    part = "40%"
+                    rate = "10%"
+                    [[fault]]
+                    do = "reset-after"
+                    at = "2s"
+                    part = "40%"
+                    rate = "3%"
+                    [[fault]]
+                    do = "errors"
+                    at = "5s"
+                    for = "8s"
+                    count = 2
+                    rate = "50%"
+                    [[fault]]
+                    do = "pause"
+                    at = "10s"
+                    for = "1500ms"
+                    part = "50%"
+                    [[fault]]
+                    do = "cut"
+                    at = "15s"
+                    for = "4s"
+                    zone = "khan-uul"
+                    [[fault]]
+                    do = "vanish"
+                    at = "16s"
+                    for = "3s"
+                    servers = ["new-0", "old-3"]
+                    [[fault]]
+                    do = "restart"
+                    at = "22s"
+                    count = 4
+                    moved = true
+                    [[fault]]
+                    do = "discovery-down"
+                    at = "24s"
+                    for = "5s"
+                    [[fault]]
+                    do = "kill-proxy"
+                    at = "25s"
+                    count = 2
+                    [[fault]]
+                    do = "slow"
+                    at = "30s"
+                    for = "5s"
+                    count = 5
+                    factor = 8
+                    """, seed));
+            assertTrue(count(result.service().outcomes(), "reset") > 0);
+            assertTrue(count(result.service().outcomes(), "failed") > 0);
+            assertTrue(count(result.service().tries(), "left") > 0);
+        }
+    }
+
+    @Test
+    void anotherSeedIsAnotherCourse() throws Exception {
+        String lines = "length = \"5s\"\n";
+        assertEquals(Worlds.play(lines, 1).sha256(), Worlds.play(lines, 1).sha256());
+        assertNotEquals(Worlds.play(lines, 1).sha256(), Worlds.play(lines, 2).sha256());
+    }
+
+    @Test
+    void sweepsDoNotDependOnHowManyWorldsArePlayedAtOnce() throws Exception {
+        Scenario scenario = Worlds.of("length = \"5s\"\n");
+        List<Sweep.Played> one = Sweep.play(scenario, 3, 10, 1, p -> { });
+        assertEquals(one, Sweep.play(scenario, 3, 10, 5, p -> { }));
+        assertEquals(Worlds.world(scenario, 4).play().sha256(), one.get(1).sha256());
+        assertEquals(one.stream().mapToDouble(Sweep.Played::service).min().orElseThrow(),
+                Sweep.worst(one, 3).get(0).service());
+    }
+
+    @Test
+    void nothingIsLeftWhenAllIsOver() throws Exception {
+        World world = Worlds.world(Worlds.of("length = \"10s\"\nsettle = \"20s\"\n"), 1);
+        kept(world.play());
+        for (Proxy p : world.proxies) {
+            assertEquals(0, p.held(), "requests");
+            assertEquals(0, p.connections(), "connections close when idle");
+        }
+        for (Host h : world.hosts) {
+            assertEquals(0, h.links.size());
+            assertEquals(0, h.life.held());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/mulleinfront/emulator/Worlds.java
@@ -0,0 +1,47 @@
+package mulleinfront.emulator;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import mulleinfront.Balancer;
+import mulleinfront.core.Core;
+
+/** Small worlds for tests, written as scenario files are. */
+final class Worlds {
+    static final Path SHIPPED = Path.of("scenarios");
+
+    private Worlds() { }
+
+    static List<Path> shipped() throws Exception {
+        try (Stream<Path> files = Files.list(SHIPPED)) {
+            return files.filter(f -> f.toString().endsWith(".toml")).sorted().toList();
+        }
+    }
+
+    /** A scenario on the world that is shipped: its lines follow {@code [scenario]} and a title. */
+    static Scenario of(String lines) throws ScenarioException {
+        return ScenarioReader.read("scenarios/test.toml", "[scenario]\ntitle = \"a test\"\nworld = \"calm.toml\"\n"
+                + lines, world -> new String[] {world, text(world)});
+    }
+
+    static String text(String world) throws ScenarioException {
+        try {
+            return Files.readString(SHIPPED.resolve(world));
+        } catch (java.io.IOException e) {
+            throw new ScenarioException(e.toString());
+        }
+    }
+
+    static World world(Scenario scenario, long seed) {
+        return world(scenario, seed, Balancer::create, Fitting.PLAIN);
+    }
+
+    static World world(Scenario scenario, long seed, Core.Maker maker, Fitting fitting) {
+        return new World(scenario, seed, new Trace(null), maker, fitting);
+    }
+
+    static World.Result play(String lines, long seed) throws ScenarioException {
+        return world(of(lines), seed).play();
+    }
+}
