--- a/src/main/java/mulleinfront/cli/CommandLine.java
+++ b/src/main/java/mulleinfront/cli/CommandLine.java
@@ -8,7 +8,7 @@
 import picocli.CommandLine.Spec;
 
 /** The words of the command line and what is common to them: exit codes, and errors in one line. */
-@Command(name = "mulleinfront", subcommands = Emulate.class, mixinStandardHelpOptions = true,
+@Command(name = "mulleinfront", subcommands = {Emulate.class, Bench.class}, mixinStandardHelpOptions = true,
         description = "A client proxy, and a world to rehearse it in.",
         footer = {"", "serve      a client proxy on sockets, as NODE_CONFIG says",
             "benchlink  the same decisions on the simulator's wire", "rehearse   for the build"})
@@ -27,7 +27,7 @@
 
     @Override
     public void run() {
-        throw new ParameterException(spec.commandLine(), "a word is missing: emulate, serve or benchlink");
+        throw new ParameterException(spec.commandLine(), "a word is missing: emulate, bench, serve or benchlink");
     }
 
     /** Runs a command line; gives the exit code. */
--- a/src/main/java/mulleinfront/emulator/Scenario.java
+++ b/src/main/java/mulleinfront/emulator/Scenario.java
@@ -193,6 +193,15 @@
                 || type.effect() == Effect.DEDUP && type.scope() == DedupScope.ALL;
     }
 
+    /** The same world with another number of client proxies; the requests are spread over them. */
+    public Scenario withProxies(int count) {
+        Proxies p = new Proxies(count, proxies.spread(), proxies.startWithinUs(), proxies.known(),
+                proxies.knownAgeUs(), proxies.ghosts(), proxies.startUs(), proxies.lateCallsUs(),
+                proxies.killAfterUs(), proxies.connections());
+        return new Scenario(name, title, lengthUs, settleUs, zones, network, discovery, p, clients, load, servers,
+                classes, tenants, overShareWorth, limits, rules, service, faults);
+    }
+
     /** How many servers there are. */
     public int fleet() {
         return servers.stream().mapToInt(Servers::count).sum();
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -48,11 +48,16 @@
         launch(Peers.config(port, discovery.server.address(), "",
                 Peers.list(1, true, known.toArray(String[]::new))), ProcessBuilder.Redirect.INHERIT);
         Discovery.push(discovery.asked(), Peers.list(2, true, known.toArray(String[]::new)));
+        awaitReady(port);
+        return port;
+    }
+
+    private void awaitReady(int port) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(Peers.PATIENCE_S);
         while (System.nanoTime() < end) {
             try (Client client = new Client(port)) {
                 if (client.write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status() == 200) {
-                    return port;
+                    return;
                 }
             } catch (IOException e) {
                 // not listening yet
@@ -224,6 +229,26 @@
         assertEquals("mulleinfront: settings: safe: unknown effect odd\n", Files.readString(errors.toPath()));
     }
 
+    @Test
+    void theSampleConfigurationServesOnLoopback() throws Exception {
+        // What README tells a newcomer to start: as it is shipped, but for the ports, which may be in use here.
+        Path sample = Path.of("deploy/sample-config.json");
+        Config shipped = Config.load(sample.toString());
+        assertTrue(shipped.listen().getAddress().isLoopbackAddress());
+        assertTrue(shipped.discovery().getAddress().isLoopbackAddress());
+        Server host = host(s -> s.served("x"));
+        int port = freePort();
+        launch(Files.readString(sample).replace(":8081", ":" + port).replace(":8500", ":1")
+                .replace("127.0.0.1:9001", host.address()).replace("127.0.0.1:9002", host.address()),
+                ProcessBuilder.Redirect.INHERIT);
+        awaitReady(port);
+        try (Client client = new Client(port)) {
+            assertEquals(200, client.write("POST /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
+                    + "X-Class: advance-payout\r\nX-Tenant: erdenet\r\nX-Deadline-Ms: 2500\r\n"
+                    + "Content-Length: 0\r\n\r\n").read().status());
+        }
+    }
+
     @Test
     void aPortInUseIsOnePlainLine() throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
