--- /dev/null
+++ b/src/main/java/mulleinfront/bench/Child.java
@@ -0,0 +1,116 @@
+package mulleinfront.bench;
+
+import com.sun.management.ThreadMXBean;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import mulleinfront.proxy.ClientProxy;
+import mulleinfront.proxy.Config;
+
+/**
+ * One part of a measurement as a process: it says where it listens, answers each line on its standard input with its
+ * own figures, and ends when that closes. {@link Handle} is the other side.
+ */
+public final class Child {
+    private Child() { }
+
+    /** What a process has used since it began. */
+    record Figures(long cpuNanos, long allocatedBytes) {
+        Figures since(Figures before) {
+            return new Figures(cpuNanos - before.cpuNanos, allocatedBytes - before.allocatedBytes);
+        }
+    }
+
+    /**
+     * The process's entry.
+     *
+     * @param args {@code hosts COUNT MICROS}, {@code relay PORT} or {@code proxy CONFIG-JSON}
+     */
+    public static void main(String... args) throws Exception {
+        String ports;
+        switch (args[0]) {
+            case "hosts" -> {
+                EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+                List<String> all = new ArrayList<>();
+                for (int i = 0; i < Integer.parseInt(args[1]); i++) {
+                    all.add("" + StandIn.host(group, Long.parseLong(args[2])));
+                }
+                ports = String.join(",", all);
+            }
+            case "relay" -> ports = "" + StandIn.relay(
+                    new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()), Integer.parseInt(args[1]));
+            case "proxy" -> ports = "" + ClientProxy.start(
+                    Config.parse(args[1].getBytes(StandardCharsets.UTF_8))).port();
+            default -> throw new IllegalArgumentException("unknown part " + args[0]);
+        }
+        System.out.println(ports);
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        var system = (com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+        BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.US_ASCII));
+        while (in.readLine() != null) {
+            long allocated = 0;
+            for (long bytes : threads.getThreadAllocatedBytes(threads.getAllThreadIds())) {
+                allocated += Math.max(0, bytes);
+            }
+            System.out.println(system.getProcessCpuTime() + " " + allocated);
+        }
+        System.exit(0);
+    }
+
+    /** A child from its parent's side. */
+    static final class Handle implements AutoCloseable {
+        private final Process process;
+        private final BufferedReader out;
+        final List<Integer> ports = new ArrayList<>();
+
+        /**
+         * Starts a part.
+         *
+         * @param cpu the processor to keep it on, or -1; kept to only where {@code taskset} is installed
+         */
+        Handle(int cpu, List<String> jvm, String... args) throws IOException {
+            List<String> command = new ArrayList<>();
+            if (cpu >= 0 && Path.of("/usr/bin/taskset").toFile().canExecute()) {
+                command.addAll(List.of("/usr/bin/taskset", "-c", "" + cpu));
+            }
+            command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+            command.addAll(jvm);
+            command.addAll(List.of("-cp", System.getProperty("java.class.path"), Child.class.getName()));
+            command.addAll(List.of(args));
+            process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+            out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.US_ASCII));
+            String line = out.readLine();
+            if (line == null) {
+                throw new IOException("the " + args[0] + " did not start");
+            }
+            for (String port : line.split(",")) {
+                ports.add(Integer.parseInt(port));
+            }
+        }
+
+        Figures figures() {
+            try {
+                process.getOutputStream().write('\n');
+                process.getOutputStream().flush();
+                String[] words = out.readLine().split(" ");
+                return new Figures(Long.parseLong(words[0]), Long.parseLong(words[1]));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
+        @Override
+        public void close() {
+            process.destroyForcibly();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/mulleinfront/bench/StandIn.java
@@ -0,0 +1,146 @@
+package mulleinfront.bench;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/** Servers that answer every request after a while, and a relay that passes bytes on: as little as can be. */
+final class StandIn {
+    private static final byte[] ANSWER =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.US_ASCII);
+
+    private StandIn() { }
+
+    private static int listen(EventLoopGroup group, ChannelHandler connection) throws InterruptedException {
+        Channel server = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, 1024).childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(connection).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
+        return ((InetSocketAddress) server.localAddress()).getPort();
+    }
+
+    private static ChannelInitializer<SocketChannel> each(java.util.function.Supplier<ChannelHandler> handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel ch) {
+                ch.pipeline().addLast(handler.get());
+            }
+        };
+    }
+
+    /**
+     * A host.
+     *
+     * @param micros mean time to an answer, each drawn between half and one and a half of it; 0: at once
+     * @return its port
+     */
+    static int host(EventLoopGroup group, long micros) throws InterruptedException {
+        SplittableRandom random = new SplittableRandom(1);
+        return listen(group, each(() -> new SimpleChannelInboundHandler<ByteBuf>() {
+            private final SplittableRandom own = split(random);
+            private int seen;
+
+            /** Requests have no body here, so each ends with its head: a blank line. */
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, ByteBuf in) {
+                int answers = 0;
+                while (in.isReadable()) {
+                    byte b = in.readByte();
+                    seen = b == '\n' ? seen + 1 : b == '\r' ? seen : 0;
+                    if (seen == 2) {
+                        answers++;
+                        seen = 0;
+                    }
+                }
+                for (; answers > 0; answers--) {
+                    if (micros == 0) {
+                        ctx.write(Unpooled.wrappedBuffer(ANSWER));
+                    } else {
+                        ctx.executor().schedule(() -> ctx.writeAndFlush(Unpooled.wrappedBuffer(ANSWER)),
+                                (long) (micros * (0.5 + own.nextDouble())), TimeUnit.MICROSECONDS);
+                    }
+                }
+            }
+
+            @Override
+            public void channelReadComplete(ChannelHandlerContext ctx) {
+                ctx.flush();
+            }
+        }));
+    }
+
+    private static synchronized SplittableRandom split(SplittableRandom random) {
+        return random.split();
+    }
+
+    /** A relay of bytes to one port, on one thread, a connection for each; returns its port. */
+    static int relay(EventLoopGroup group, int to) throws InterruptedException {
+        return listen(group, each(() -> new ChannelInboundHandlerAdapter() {
+            private Channel other;
+
+            @Override
+            public void channelActive(ChannelHandlerContext ctx) {
+                ctx.channel().config().setAutoRead(false);
+                other = new Bootstrap().group(ctx.channel().eventLoop()).channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true).handler(new Back(ctx.channel()))
+                        .connect(InetAddress.getLoopbackAddress(), to)
+                        .addListener(f -> ctx.channel().config().setAutoRead(true)).channel();
+            }
+
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object in) {
+                other.write(in);
+            }
+
+            @Override
+            public void channelReadComplete(ChannelHandlerContext ctx) {
+                other.flush();
+            }
+
+            @Override
+            public void channelInactive(ChannelHandlerContext ctx) {
+                other.close();
+            }
+        }));
+    }
+
+    /** The way back of a relay. */
+    private static final class Back extends ChannelInboundHandlerAdapter {
+        private final Channel client;
+
+        Back(Channel client) {
+            this.client = client;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object in) {
+            client.write(in);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            client.flush();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            client.close();
+        }
+    }
+}
--- a/src/main/java/mulleinfront/cli/Bench.java
+++ b/src/main/java/mulleinfront/cli/Bench.java
@@ -1,10 +1,13 @@
 package mulleinfront.cli;
 
+import java.io.IOException;
 import java.io.PrintWriter;
 import java.lang.ref.Reference;
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.Locale;
+import java.util.concurrent.Callable;
+import mulleinfront.bench.Throughput;
 import mulleinfront.emulator.Scenario;
 import mulleinfront.emulator.ScenarioException;
 import mulleinfront.emulator.ScenarioReader;
@@ -16,7 +19,7 @@
 import picocli.CommandLine.Spec;
 
 /** {@code bench}: measurements that anyone can repeat; no test depends on them. */
-@Command(name = "bench", mixinStandardHelpOptions = true, subcommands = Bench.Emulator.class,
+@Command(name = "bench", mixinStandardHelpOptions = true, subcommands = {Bench.Emulator.class, Bench.OnSockets.class},
         description = "Measures this program on this machine.")
 final class Bench implements Runnable {
     @Spec
@@ -98,4 +101,44 @@
             return jvm.totalMemory() - jvm.freeMemory();
         }
     }
+
+    /** Direct, relay and client proxy under the same load. */
+    @Command(name = "throughput", mixinStandardHelpOptions = true,
+            description = "Requests a second, latency, CPU and allocation a request: straight to stand-in hosts, over a"
+                    + " plain byte relay, and through the client proxy, in turn in one run on loopback.")
+    static final class OnSockets implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Option(names = "--hosts-ms", split = ",", paramLabel = "MS", defaultValue = "0,1,5,20",
+                description = "mean times to a host's answer, drawn plus or minus half (default ${DEFAULT-VALUE})")
+        private double[] hostsMs;
+
+        @Option(names = "--connections", split = ",", paramLabel = "N", defaultValue = "1,32,64,256",
+                description = "connections of clients (default ${DEFAULT-VALUE})")
+        private int[] connections;
+
+        @Option(names = "--seconds", paramLabel = "S", defaultValue = "5",
+                description = "measured time of each, after half of it that is not (default ${DEFAULT-VALUE})")
+        private double seconds;
+
+        @Option(names = "--open", paramLabel = "PART", defaultValue = "0",
+                description = "also an open loop at this part of the slower one's rate, each request measured from when"
+                        + " it was due; 0: none (default ${DEFAULT-VALUE})")
+        private double open;
+
+        @Option(names = "--cpu", paramLabel = "N", defaultValue = "-1",
+                description = "keeps relay and client proxy on this processor, where taskset is installed")
+        private int cpu;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            Throughput bench = new Throughput(spec.commandLine().getOut(), (long) (500 * seconds),
+                    (long) (1000 * seconds), cpu);
+            for (double ms : hostsMs) {
+                bench.measure((long) (ms * 1000), connections, open);
+            }
+            return CommandLine.KEPT;
+        }
+    }
 }
--- a/src/main/java/mulleinfront/emulator/Clients.java
+++ b/src/main/java/mulleinfront/emulator/Clients.java
@@ -2,6 +2,7 @@
 
 import java.util.Arrays;
 import mulleinfront.Balancer.RequestClass;
+import mulleinfront.core.Time;
 
 /**
  * The applications: an open loop of requests, drawn whether or not earlier ones were answered, each with its
@@ -73,6 +74,7 @@
         final long sentAt;
         final long deadlineAt;
         private boolean over;
+        private Time.Timer patience;
 
         private Try(Ask ask, Call call, long sentAt, long deadlineAt) {
             this.ask = ask;
@@ -226,7 +228,7 @@
             }
             proxy.take(t);
         });
-        world.queue.after(deadline + scenario.rules().answerSlackUs() - now, () -> leave(t, How.TIMED_OUT));
+        t.patience = world.queue.after(deadline + scenario.rules().answerSlackUs() - now, () -> leave(t, How.TIMED_OUT));
         if (habits.happens(scenario.clients().leave())) {
             world.queue.after((long) ((deadline - now) * habits.unit()), () -> leave(t, How.LEFT));
         }
@@ -250,6 +252,7 @@
         world.queue.after(way(), () -> {
             if (!t.over) {
                 t.over = true;
+                t.patience.cancel();
                 ended(t, how, retryAfterUs);
             }
         });
--- a/src/main/java/mulleinfront/emulator/EventQueue.java
+++ b/src/main/java/mulleinfront/emulator/EventQueue.java
@@ -8,21 +8,26 @@
  * asked for. Nothing else orders them, so a world's course depends on its seed alone.
  */
 public final class EventQueue implements Time {
-    private Event[] heap = new Event[1024];
+    /** Children of a place in the heap: four lie in one line of the cache and halve its depth. */
+    private static final int WAYS = 4;
+    /** Cancelled tasks fewer than this are left to come up by themselves. */
+    private static final int FEW = 256;
+
+    /** A heap by instant and order; what decides is kept beside the events, since it is read far more often. */
+    private long[] at = new long[1024];
+    private long[] order = new long[1024];
+    private Event[] events = new Event[1024];
     private int size;
     private long now;
     private long asked;
     private long ran;
+    private int cancelled;
 
-    /** One task; cancelled ones stay until their instant comes, or until they are half of all. */
+    /** One task; a cancelled one stays until its instant comes, or until they are half of all. */
     private final class Event implements Timer {
-        private final long at;
-        private final long order;
         private Runnable task;
 
-        Event(long at, long order, Runnable task) {
-            this.at = at;
-            this.order = order;
+        Event(Runnable task) {
             this.task = task;
         }
 
@@ -30,19 +35,13 @@
         public void cancel() {
             if (task != null) {
                 task = null;
-                if (++cancelled > size / 2 && size > 4096) {
+                if (++cancelled > Math.max(FEW, size / 2)) {
                     sweep();
                 }
             }
         }
-
-        boolean before(Event o) {
-            return at < o.at || at == o.at && order < o.order;
-        }
     }
 
-    private int cancelled;
-
     @Override
     public long now() {
         return now;
@@ -55,28 +54,32 @@
 
     @Override
     public Timer after(long delayUs, Runnable task) {
-        Event e = new Event(now + Math.max(0, delayUs), asked++, task);
-        if (size == heap.length) {
-            heap = Arrays.copyOf(heap, 2 * size);
+        Event e = new Event(task);
+        if (size == events.length) {
+            at = Arrays.copyOf(at, 2 * size);
+            order = Arrays.copyOf(order, 2 * size);
+            events = Arrays.copyOf(events, 2 * size);
         }
-        up(size++, e);
+        up(size++, now + Math.max(0, delayUs), asked++, e);
         return e;
     }
 
     /** Runs all that is due up to an instant, that instant included; time then stands there. */
     public void runUntil(long instant) {
-        while (size > 0 && heap[0].at <= instant) {
-            Event e = heap[0];
-            Event last = heap[--size];
-            heap[size] = null;
-            if (size > 0) {
-                down(0, last);
+        while (size > 0 && at[0] <= instant) {
+            Event e = events[0];
+            long due = at[0];
+            int last = --size;
+            Event moved = events[last];
+            events[last] = null;
+            if (last > 0) {
+                down(0, at[last], order[last], moved);
             }
             if (e.task == null) {
                 cancelled--;
                 continue;
             }
-            now = e.at;
+            now = due;
             Runnable task = e.task;
             e.task = null;
             ran++;
@@ -85,44 +88,60 @@
         now = Math.max(now, instant);
     }
 
-    private void up(int at, Event e) {
-        while (at > 0) {
-            int parent = at - 1 >>> 1;
-            if (!e.before(heap[parent])) {
+    private void put(int place, long when, long number, Event e) {
+        at[place] = when;
+        order[place] = number;
+        events[place] = e;
+    }
+
+    private void move(int from, int to) {
+        put(to, at[from], order[from], events[from]);
+    }
+
+    private void up(int place, long when, long number, Event e) {
+        while (place > 0) {
+            int parent = (place - 1) / WAYS;
+            // A later one of the same instant stays below.
+            if (at[parent] < when || at[parent] == when && order[parent] < number) {
                 break;
             }
-            heap[at] = heap[parent];
-            at = parent;
+            move(parent, place);
+            place = parent;
         }
-        heap[at] = e;
+        put(place, when, number, e);
     }
 
-    private void down(int at, Event e) {
-        for (int child; (child = 2 * at + 1) < size; at = child) {
-            if (child + 1 < size && heap[child + 1].before(heap[child])) {
-                child++;
+    private void down(int place, long when, long number, Event e) {
+        for (int first; (first = WAYS * place + 1) < size;) {
+            int least = first;
+            int end = Math.min(first + WAYS, size);
+            for (int c = first + 1; c < end; c++) {
+                if (at[c] < at[least] || at[c] == at[least] && order[c] < order[least]) {
+                    least = c;
+                }
             }
-            if (!heap[child].before(e)) {
+            if (when < at[least] || when == at[least] && number < order[least]) {
                 break;
             }
-            heap[at] = heap[child];
+            move(least, place);
+            place = least;
         }
-        heap[at] = e;
+        put(place, when, number, e);
     }
 
     /** Drops the cancelled: guards of seconds, cancelled within milliseconds, would be most of the heap. */
     private void sweep() {
         int kept = 0;
         for (int i = 0; i < size; i++) {
-            if (heap[i].task != null) {
-                heap[kept++] = heap[i];
+            if (events[i].task != null) {
+                move(i, kept++);
             }
         }
-        Arrays.fill(heap, kept, size, null);
+        Arrays.fill(events, kept, size, null);
         size = kept;
         cancelled = 0;
-        for (int i = size / 2 - 1; i >= 0; i--) {
-            down(i, heap[i]);
+        for (int i = (size - 2) / WAYS; i >= 0 && size > 1; i--) {
+            down(i, at[i], order[i], events[i]);
         }
     }
 }
