--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -52,6 +52,10 @@
     private static final double CROWDED = 3;
     private static final double CROWDED_AIM = 0.35;
     private static final double ORDINARY = 1.5;
+    /** What a lag is over the usual is noise up to this many mean deviations (as TCP has it, RFC 6298) ... */
+    private static final double NOISE_DEVIATIONS = 4;
+    /** ... and this part of the aim: more than that is felt, however often it comes. */
+    private static final double NOISE_AIM = 0.05;
     private static final double CUT = 0.85;
     /** The cut where there was no answer at all in time: many instances with one attempt each are many. */
     private static final double LOSS_CUT = 0.6;
@@ -138,6 +142,8 @@
     private final List<Node> listed = new ArrayList<>();
     private final double[] meanLag;
     private final double[] usualLag;
+    /** Mean deviation of a class's lag: from jitter and from our own queue as much as from the endpoint's. */
+    private final double[] deviation;
     private final double[] whole;
     private final double[] tenantRecent;
     private final double mostWorth;
@@ -181,9 +187,11 @@
         this.random = new SplittableRandom(seed);
         this.usualLag = new double[settings.classes().size()];
         this.meanLag = new double[usualLag.length];
+        this.deviation = new double[usualLag.length];
         this.whole = new double[usualLag.length];
         this.tenantRecent = new double[settings.tenantShares().size()];
         Arrays.setAll(usualLag, i -> meanLag[i] = settings.classes().get(i).aimUs() * FIRST_USUAL);
+        Arrays.setAll(deviation, i -> settings.classes().get(i).aimUs() * NOISE_AIM);
         Arrays.fill(kindRatio, 1);
         this.mostWorth = settings.classes().stream().mapToDouble(RequestClass::worth).reduce(1e-9, Math::max);
         this.safest = settings.classes().stream().map(RequestClass::effect).sorted().iterator().next();
@@ -408,6 +416,7 @@
         n.heardAt = now;
         strain += ((late ? 1 : 0) - strain) * POOL_GAIN;
         if (served) {
+            deviation[c] += (Math.abs(lag - meanLag[c]) - deviation[c]) * CLASS_GAIN;
             meanLag[c] += (lag - meanLag[c]) * CLASS_GAIN;
             usualLag[c] = Math.min(usualLag[c], meanLag[c]);
         }
@@ -428,8 +437,10 @@
     }
 
     private boolean crowded(Attempt a, long lag) {
-        double usual = usualLag[a.req.in.classIndex()];
-        return a.at >= wokeAt && lag > Math.min(CROWDED * usual,
+        int c = a.req.in.classIndex();
+        double usual = usualLag[c];
+        double noise = Math.min(NOISE_AIM * a.req.type.aimUs(), NOISE_DEVIATIONS * deviation[c]);
+        return a.at >= wokeAt && lag - usual > noise && lag > Math.min(CROWDED * usual,
                 Math.max(CROWDED_AIM * a.req.type.aimUs(), ORDINARY * usual));
     }
 
--- a/src/main/java/mulleinfront/bench/Child.java
+++ b/src/main/java/mulleinfront/bench/Child.java
@@ -89,6 +89,9 @@
             process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
             out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.US_ASCII));
             String line = out.readLine();
+            while (line != null && !line.matches("[0-9,]+")) {
+                line = out.readLine(); // a JVM's own word, as of a profiler
+            }
             if (line == null) {
                 throw new IOException("the " + args[0] + " did not start");
             }
--- a/src/main/java/mulleinfront/bench/Throughput.java
+++ b/src/main/java/mulleinfront/bench/Throughput.java
@@ -18,11 +18,15 @@
     private final long warmMs;
     private final long measuredMs;
     private final int cpu;
+    private final List<String> proxyJvm;
 
     /**
      * @param cpu the processor that relay and client proxy are kept on, or -1
+     * @param proxyJvm further flags of the client proxy's JVM: a profiler's, say
      */
-    public Throughput(PrintWriter out, long warmMs, long measuredMs, int cpu) {
+    public Throughput(PrintWriter out, long warmMs, long measuredMs, int cpu, List<String> proxyJvm) {
+        this.proxyJvm = new ArrayList<>(DEPLOYED);
+        this.proxyJvm.addAll(proxyJvm);
         this.out = out;
         this.warmMs = warmMs;
         this.measuredMs = measuredMs;
@@ -41,7 +45,7 @@
     public void measure(long micros, int[] connections, double open) throws IOException, InterruptedException {
         try (Child.Handle hosts = new Child.Handle(-1, List.of("-XX:+UseSerialGC"), "hosts", "" + HOSTS, "" + micros);
                 Child.Handle relay = new Child.Handle(cpu, DEPLOYED, "relay", "" + hosts.ports.get(0));
-                Child.Handle proxy = new Child.Handle(cpu, DEPLOYED, "proxy", config(hosts.ports))) {
+                Child.Handle proxy = new Child.Handle(cpu, proxyJvm, "proxy", config(hosts.ports))) {
             for (int count : connections) {
                 out.printf(Locale.ROOT, "%nhosts of %.1f ms, %d connections%n%-22s %11s %9s %9s %9s %9s %9s %9s%n",
                         micros / 1e3, count, "", "requests/s", "p50 ms", "p99 ms", "p99.9 ms", "no 200", "cpu us",
--- a/src/main/java/mulleinfront/cli/Bench.java
+++ b/src/main/java/mulleinfront/cli/Bench.java
@@ -5,6 +5,7 @@
 import java.lang.ref.Reference;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import mulleinfront.bench.Throughput;
@@ -131,10 +132,14 @@
                 description = "keeps relay and client proxy on this processor, where taskset is installed")
         private int cpu;
 
+        @Option(names = "--proxy-jvm", paramLabel = "FLAG", description = "a further flag of the client proxy's JVM; may"
+                + " be given more than once")
+        private List<String> proxyJvm = List.of();
+
         @Override
         public Integer call() throws IOException, InterruptedException {
             Throughput bench = new Throughput(spec.commandLine().getOut(), (long) (500 * seconds),
-                    (long) (1000 * seconds), cpu);
+                    (long) (1000 * seconds), cpu, proxyJvm);
             for (double ms : hostsMs) {
                 bench.measure((long) (ms * 1000), connections, open);
             }
--- a/src/test/java/mulleinfront/LogicTest.java
+++ b/src/test/java/mulleinfront/LogicTest.java
@@ -399,4 +399,41 @@
         assertEquals(logs.get(0), logs.get(1));
         assertFalse(logs.get(0).isEmpty());
     }
+
+    /** Requests of as many keys at once; gives how many were sent on, and ends them after a lag. */
+    private static int sentAtOnce(Rig rig, int count, long lag) {
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ids.add(rig.request(0, "k" + i, 1_000_000));
+        }
+        int sent = (int) ids.stream().filter(id -> rig.at(id) != null).count();
+        rig.pass(lag);
+        ids.stream().filter(id -> rig.at(id) != null && rig.finals.get(id) == null)
+                .forEach(id -> rig.end(id, Outcome.OK, lag));
+        return sent;
+    }
+
+    @Test
+    void jitterOfAMillisecondIsNoCrowding() {
+        // Guards hosts that answer at once: ten times their usual lag is still nothing against the aim.
+        Rig rig = new Rig(Rig.SAFE).endpoints(3);
+        for (int i = 0; i < 600; i++) {
+            sentAtOnce(rig, 60, i % 3 == 0 ? 2_000 : 200);
+        }
+        assertEquals(60, sentAtOnce(rig, 60, 2_000), "limits have grown by good answers and were never cut");
+        assertEquals(60, sentAtOnce(rig, 60, 200));
+    }
+
+    @Test
+    void whatIsFeltIsCrowdingHoweverFastHostsUsuallyAre() {
+        Rig rig = new Rig(Rig.SAFE).endpoints(3);
+        for (int i = 0; i < 600; i++) {
+            sentAtOnce(rig, 60, 200);
+        }
+        for (int i = 0; i < 40; i++) {
+            sentAtOnce(rig, 60, 60_000);
+        }
+        int sent = sentAtOnce(rig, 60, 60_000);
+        assertTrue(sent < 20, "limits were cut: only a few go out at once, " + sent);
+    }
 }
