--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -643,7 +643,9 @@
         if (outcome == Outcome.OK) {
             n.lastAnswer = now;
         }
-        endProbes(now, n, outcome == Outcome.OK ? lagUs : Long.MAX_VALUE);
+        // A probe that was not made tells nothing: its request goes where it was to go.
+        boolean made = outcome != Outcome.IGNORED;
+        endProbes(now, n, !made ? 0 : outcome == Outcome.OK ? lagUs : Long.MAX_VALUE);
         retryHeld(now);
         arm(now);
     }
--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -43,6 +43,7 @@
     /** Events for the module and its actions, in order; see {@link #run}. */
     private final ArrayDeque<Runnable> work = new ArrayDeque<>();
     private boolean working;
+    private Footprint footprint;
     private Balancer balancer;
     private Time.Timer wake;
 
@@ -92,6 +93,7 @@
 
     /** Makes the module; to be called once, before any event, and followed by {@link #perform}. */
     public void begin(Maker maker, long seed) {
+        footprint = new Footprint(settings.instances(), settings.contract().askWithinUs(), seed);
         balancer = maker.create(settings, seed, time.now(), this);
     }
 
@@ -148,6 +150,11 @@
         run(() -> balancer.onEndpoints(time.now(), source, endpoints));
     }
 
+    /** Idle connections that the wire is to keep at most: see {@link Footprint}. */
+    public int mostIdle() {
+        return footprint.mostIdle(ready.size());
+    }
+
     /** A call to discovery failed, or its watch ended; the list held stays in force. */
     public void discoveryFailed() {
         run(() -> balancer.onDiscoveryFailed(time.now()));
@@ -334,6 +341,10 @@
     public void probe(String endpointId) {
         work.add(() -> {
             long sentAt = time.now();
+            if (!footprint.mayProbe(sentAt, ready.size())) {
+                run(() -> balancer.onProbeEnded(time.now(), endpointId, Outcome.IGNORED, 0));
+                return;
+            }
             wire.probe(endpointId, (outcome, answer) -> run(
                     () -> balancer.onProbeEnded(time.now(), endpointId, outcome, time.now() - sentAt)));
         });
@@ -341,7 +352,14 @@
 
     @Override
     public void subscribe() {
-        work.add(wire::subscribe);
+        work.add(() -> {
+            long delay = footprint.callDelayUs(!ready.isEmpty());
+            if (delay == 0) {
+                wire.subscribe();
+            } else {
+                time.after(delay, wire::subscribe);
+            }
+        });
     }
 
     @Override
--- a/src/main/java/mulleinfront/emulator/EmulatedWire.java
+++ b/src/main/java/mulleinfront/emulator/EmulatedWire.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.core.Time;
 import mulleinfront.core.Wire;
@@ -35,9 +36,14 @@
     /** Idle connections, the longest idle first. */
     private final LinkedHashSet<Link> idle = new LinkedHashSet<>();
     private final LinkedHashSet<Link> all = new LinkedHashSet<>();
+    private final IntSupplier mostIdle;
     private boolean sweeping;
 
-    EmulatedWire(World world, Time time, int proxy, int zone, DiscoveryClient discovery) {
+    /**
+     * @param mostIdle idle connections to keep at most
+     */
+    EmulatedWire(World world, Time time, int proxy, int zone, DiscoveryClient discovery, IntSupplier mostIdle) {
+        this.mostIdle = mostIdle;
         this.world = world;
         this.time = time;
         this.proxy = proxy;
@@ -157,6 +163,9 @@
         link.idleAt = time.now();
         idle.add(link);
         idleAt.computeIfAbsent(link.address, a -> new ArrayDeque<>()).push(link);
+        if (idle.size() > mostIdle.getAsInt()) {
+            close(idle.iterator().next());
+        }
         sweep();
     }
 
--- a/src/main/java/mulleinfront/emulator/Proxy.java
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -100,7 +100,8 @@
     /** One process. */
     private final class Life implements Time {
         private final DiscoveryClient discovery = new DiscoveryClient(world, this, number, zone);
-        private final EmulatedWire wire = new EmulatedWire(world, this, number, zone, discovery);
+        private final EmulatedWire wire = new EmulatedWire(world, this, number, zone, discovery,
+                this::mostIdle);
         private final Core<Call, Answer> core =
                 new Core<>(world.scenario.settings(), this, world.fitting.wire(wire, this), world.audit::defect);
         private final Map<Clients.Try, Core.Exchange<Call, Answer>> open = new LinkedHashMap<>();
@@ -108,6 +109,10 @@
         private boolean listening = true;
         private boolean ending;
 
+        private int mostIdle() {
+            return core.mostIdle();
+        }
+
         void begin(Registry.News known) {
             discovery.join(core, wire);
             core.begin(maker, chance.nextLong());
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -62,7 +62,7 @@
         this.loop = group.next();
         int half = Math.max(1, (config.sockets() - OWN_SOCKETS) / 2);
         this.upstream = new Upstream(loop, config.dialTimeoutUs(), config.settings().limits().connIdleUs(),
-                half);
+                half, this::mostIdle);
         this.core = new Core<>(config.settings(), new LoopTime(), new Sockets(), ClientProxy::defect);
         this.discovery = new Discovery(config, loop, upstream, new Discovery.Listener() {
             @Override
@@ -121,6 +121,10 @@
         }
     }
 
+    private int mostIdle() {
+        return core.mostIdle();
+    }
+
     private static void defect(Throwable e) {
         // Exceptions thrown often come without a trace.
         System.err.println("mulleinfront: " + e + Arrays.stream(e.getStackTrace()).limit(1)
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -30,6 +30,7 @@
 import java.util.LinkedHashSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntSupplier;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.core.Wire;
 
@@ -65,14 +66,20 @@
     private final long mostIdleNanos;
     private long idleNanos;
     private final int mostConnections;
+    private final IntSupplier mostIdle;
     /** Idle connections to all hosts, the longest idle first. */
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
     private int connections;
     /** Room for what nobody asked for: outside the heap, or each look would copy. */
     private final ByteBuffer peek = ByteBuffer.allocateDirect(1);
 
-    Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int mostConnections) {
+    /**
+     * @param mostConnections connections to hold at most, also while all are in use
+     * @param mostIdle idle connections to keep at most
+     */
+    Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int mostConnections, IntSupplier mostIdle) {
         this.loop = loop;
+        this.mostIdle = mostIdle;
         this.mostConnections = mostConnections;
         this.mostIdleNanos = (long) (connIdleUs * 1000 * IDLE_PART);
         this.idleNanos = mostIdleNanos;
@@ -441,6 +448,9 @@
                 idleAt = System.nanoTime();
                 host.resting.add(this);
                 idle.add(this);
+                if (idle.size() > mostIdle.getAsInt()) {
+                    idle.iterator().next().close();
+                }
             } else {
                 channel.close();
             }
--- /dev/null
+++ b/src/test/java/mulleinfront/emulator/LargeFleetTest.java
@@ -0,0 +1,78 @@
+package mulleinfront.emulator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import mulleinfront.emulator.ServiceReport.Server;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Many client proxies with little traffic each: a small form of what {@code scenarios/large} plays in full. */
+class LargeFleetTest {
+    private static final Path LARGE = Worlds.SHIPPED.resolve("large");
+
+    static List<Path> large() throws Exception {
+        try (Stream<Path> files = Files.list(LARGE)) {
+            return files.filter(f -> f.toString().endsWith(".toml")).sorted().toList();
+        }
+    }
+
+    @Test
+    void everyLargeScenarioIsReadable() throws Exception {
+        assertEquals(6, large().size());
+        for (Path file : large()) {
+            Scenario s = ScenarioReader.read(file);
+            assertTrue(s.proxies().count() >= 5_000 || s.fleet() >= 5_000, file + " is not large");
+        }
+    }
+
+    static List<String> someMinutesOfEach() {
+        return List.of("fleet", "late-list", "discovery-outage", "zone-gone", "one-large");
+    }
+
+    @ParameterizedTest
+    @MethodSource("someMinutesOfEach")
+    void aTenthOfTheInstancesKeepTheRulesAndPushNobodyOver(String name) throws Exception {
+        Scenario scenario = ScenarioReader.read(LARGE.resolve(name + ".toml")).withProxies(500);
+        World world = Worlds.world(scenario, 1);
+        world.playUntil(15_000_000);
+        World.Result result = world.finish();
+        assertEquals(List.of(), result.breaches());
+        for (Server s : result.service().servers()) {
+            assertTrue(!s.figures().fell, s.name() + " fell over");
+            assertEquals(0, s.figures().connectionsRefused, s.name() + " was asked for too many connections");
+        }
+    }
+
+    @Test
+    void whereInstancesAreManyEachKeepsFewConnections() throws Exception {
+        // 500 instances that each kept one to all of 14 servers would hold 500 at each, which takes 380.
+        World.Result result = Worlds.world(Worlds.of("length = \"30s\"\n").withProxies(500), 1).play();
+        assertEquals(List.of(), result.breaches());
+        for (Server s : result.service().servers()) {
+            assertTrue(s.figures().mostConnections < 300, s.name() + " held " + s.figures().mostConnections);
+            assertEquals(0, s.figures().connectionsRefused);
+        }
+    }
+
+    @Test
+    void callsToDiscoveryAfterAnOutageAreSpread() throws Exception {
+        World.Result result = Worlds.world(Worlds.of("""
+                length = "30s"
+                [discovery]
+                call = "2ms"
+                [[fault]]
+                do = "discovery-down"
+                at = "5s"
+                for = "10s"
+                """).withProxies(1_000), 1).play();
+        assertEquals(List.of(), result.breaches());
+        long calls = result.service().counts().get("discovery calls");
+        assertTrue(calls < 8_000, calls + " calls by 1,000 instances: one at the start, some in ten seconds of outage");
+    }
+}
