What both wires go by is said once; copies and dead code of the emulator go

Seen on a re-reading of the change: the emulated wire and discovery client held copies of the sockets' figures (idle part, rest, fresh connections, silence, when to ask an agent again), so the two could drift apart. Call and Frontend each joined head and body by hand. The full rate was worked out in three places, the scenario constructed twice, the settings and the whole list made anew for each of thousands of client proxies.

Change: those figures stand in core.Wire, the contract of any wire; Framing.whole joins a message; Scenario.fullRate and withFaults, Registry.whole, World.settings, Proxy.startAgain, one name check, one writer of the trace, one record for a cold server, one handler for both ways of the bench's relay. Unused fields and methods are gone.

--- a/src/main/java/mulleinfront/bench/StandIn.java
+++ b/src/main/java/mulleinfront/bench/StandIn.java
@@ -91,56 +91,37 @@
 
     /** A relay of bytes to one port, on one thread, a connection for each; returns its port. */
     static int relay(EventLoopGroup group, int to) throws InterruptedException {
-        return listen(group, each(() -> new ChannelInboundHandlerAdapter() {
-            private Channel other;
-
+        return listen(group, each(() -> new Pass() {
             @Override
             public void channelActive(ChannelHandlerContext ctx) {
                 ctx.channel().config().setAutoRead(false);
+                Pass back = new Pass();
+                back.other = ctx.channel();
                 other = new Bootstrap().group(ctx.channel().eventLoop()).channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true).handler(new Back(ctx.channel()))
+                        .option(ChannelOption.TCP_NODELAY, true).handler(back)
                         .connect(InetAddress.getLoopbackAddress(), to)
                         .addListener(f -> ctx.channel().config().setAutoRead(true)).channel();
             }
-
-            @Override
-            public void channelRead(ChannelHandlerContext ctx, Object in) {
-                other.write(in);
-            }
-
-            @Override
-            public void channelReadComplete(ChannelHandlerContext ctx) {
-                other.flush();
-            }
-
-            @Override
-            public void channelInactive(ChannelHandlerContext ctx) {
-                other.close();
-            }
         }));
     }
 
-    /** The way back of a relay. */
-    private static final class Back extends ChannelInboundHandlerAdapter {
-        private final Channel client;
-
-        Back(Channel client) {
-            this.client = client;
-        }
+    /** One way of a relay: what comes here goes to the other channel, and so does the end. */
+    private static class Pass extends ChannelInboundHandlerAdapter {
+        Channel other;
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object in) {
-            client.write(in);
+            other.write(in);
         }
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            client.flush();
+            other.flush();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            client.close();
+            other.close();
         }
     }
 }
--- a/src/main/java/mulleinfront/core/Wire.java
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -10,6 +10,20 @@
  * @param <A> an answer as the wire brings it
  */
 public interface Wire<Q, A> {
+    /** Part of the settings' idle time after which a wire closes first: a host closes at the whole of it. */
+    double IDLE_PART = 0.75;
+    /** How long a connection rests after an answer: what follows that unasked must not meet a new request. */
+    long REST_US = 3_000;
+    /** Fresh connections to one attempt, as long as they are reset before a request is written whole. */
+    int MOST_FRESH = 3;
+    /**
+     * Discovery's heartbeat comes every 2 s: two missed ones and a little more are silence. What discovery has to
+     * tell counts as told after 6 s even if it never came, so by then the next call must have been answered.
+     */
+    long SILENCE_US = 4_500_000;
+    /** The agent that pushes lists answers at once and at no cost: a broken watch of it is asked for after this. */
+    long AGENT_AGAIN_US = 500_000;
+
     /** Told once how an attempt or a probe ended. */
     interface End<A> {
         /**
--- a/src/main/java/mulleinfront/emulator/Auditor.java
+++ b/src/main/java/mulleinfront/emulator/Auditor.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import mulleinfront.Balancer.Availability;
 import mulleinfront.Balancer.DedupScope;
@@ -30,12 +32,9 @@
     private final ArrayDeque<Taken> oldest = new ArrayDeque<>();
     private final Map<Integer, Told> proxies = new HashMap<>();
     private final Map<String, Place> places = new HashMap<>();
-    private final Map<String, Host.Budget> cold = new HashMap<>();
-    private final Map<String, Long> startedAt = new HashMap<>();
-    private final Map<String, Boolean> fallen = new HashMap<>();
+    private final Map<String, Cold> cold = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private int breachCount;
-    private int defects;
 
     /** The four rules, by the names that the operators use. */
     public enum Rule {
@@ -67,7 +66,7 @@
         public String toString() {
             return "rule broken: " + rule.words() + ": " + what + (request == null ? "" : ", request " + request)
                     + (proxy < 0 ? "" : ", client proxy " + proxy) + ", at "
-                    + String.format(java.util.Locale.ROOT, "%.6f", atUs / 1e6) + " s";
+                    + String.format(Locale.ROOT, "%.6f", atUs / 1e6) + " s";
         }
     }
 
@@ -81,7 +80,6 @@
         final long deadlineAt;
         final List<Sent> attempts = new ArrayList<>(1);
         boolean ended;
-        boolean judged;
         int ran;
 
         Taken(String id, int proxy, RequestClass type, long deadlineAt) {
@@ -124,6 +122,18 @@
         long askedAt;
     }
 
+    /** A server that started during the day. */
+    private static final class Cold {
+        final long startedAt;
+        final Host.Budget budget;
+        boolean fell;
+
+        Cold(long startedAt, Host.Budget budget) {
+            this.startedAt = startedAt;
+            this.budget = budget;
+        }
+    }
+
     /** What discovery has to tell of a server that is not to be sent to. */
     private final Map<String, Long> drainListedAt = new HashMap<>();
 
@@ -140,13 +150,8 @@
         return breachCount;
     }
 
-    /** Exceptions that a core caught. */
-    public int defects() {
-        return defects;
-    }
-
+    /** A core caught an exception. */
     void defect(Throwable e) {
-        defects++;
         breach(Rule.LOST, 0, -1, null, "an event or action threw " + e);
     }
 
@@ -328,7 +333,7 @@
                 lost.add(t);
             }
         }
-        lost.sort(java.util.Comparator.comparing(t -> t.id));
+        lost.sort(Comparator.comparing(t -> t.id));
         for (Taken t : lost) {
             t.ended = true;
             breach(Rule.LOST, now, proxy, t.id, "not answered when its client proxy ended");
@@ -415,24 +420,26 @@
 
     /** A server's process has started, cold. */
     void started(String host, long now) {
-        startedAt.put(host, now);
-        cold.put(host, new Host.Budget(scenario.rules().coldForUs(), scenario.rules().coldMultiple()));
-        fallen.remove(host);
+        cold.put(host, new Cold(now,
+                new Host.Budget(scenario.rules().coldForUs(), scenario.rules().coldMultiple())));
     }
 
     /** Work has come to a cold server that can do {@code capacity} in a microsecond now. */
     void arrivedCold(String host, int proxy, String id, double work, double capacity, long now) {
-        Host.Budget budget = cold.get(host);
-        if (budget == null) {
+        Cold c = cold.get(host);
+        if (c == null) {
             return;
         }
         Heard h = proxies.containsKey(proxy) ? proxies.get(proxy).servers.get(host) : null;
-        boolean told = h != null && h.startedAt == startedAt.get(host);
-        if (budget.over(now, work, told, capacity) && fallen.putIfAbsent(host, true) == null
-                && budget.markedPart() >= 2.0 / 3) {
+        boolean told = h != null && h.startedAt == c.startedAt;
+        if (!c.budget.over(now, work, told, capacity) || c.fell) {
+            return;
+        }
+        c.fell = true;
+        if (c.budget.markedPart() >= 2.0 / 3) {
             breach(Rule.COLD, now, proxy, id, host + " was sent more than "
                     + scenario.rules().coldMultiple() + " times what it can do while cold, "
-                    + Math.round(100 * budget.markedPart()) + "% of it by those who were told of its start");
+                    + Math.round(100 * c.budget.markedPart()) + "% of it by those who were told of its start");
         }
     }
 
--- a/src/main/java/mulleinfront/emulator/Clients.java
+++ b/src/main/java/mulleinfront/emulator/Clients.java
@@ -103,13 +103,11 @@
         Arrays.fill(tenantWeight, 1);
         Arrays.fill(surge, 1);
         Arrays.fill(allowancePerUs, 1e9);
-        double work = scenario.classes().stream().mapToDouble(c -> c.share() * c.workUs()).sum();
-        // Requests in a microsecond: capacity and work are both counted by the core.
-        double full = scenario.capacity() / work * scenario.service().shareOfCapacity();
+        double fullPerUs = scenario.fullRate() / 1e6 * scenario.service().shareOfCapacity();
         for (int i = 0; i < scenario.tenants().size(); i++) {
             Scenario.Tenant t = scenario.tenants().get(i);
             tenantWeight[i] = t.share() * t.usage();
-            allowancePerUs[i] = full * t.share();
+            allowancePerUs[i] = fullPerUs * t.share();
         }
         Arrays.setAll(allowance, i -> SAVED_S * 1e6 * allowancePerUs[i]);
         weighTenants();
--- a/src/main/java/mulleinfront/emulator/DiscoveryClient.java
+++ b/src/main/java/mulleinfront/emulator/DiscoveryClient.java
@@ -12,14 +12,10 @@
 import mulleinfront.core.Core;
 import mulleinfront.core.ListOrder;
 import mulleinfront.core.Time;
+import mulleinfront.core.Wire;
 
 /** A client proxy's side of discovery: its watch and its list, by the same steps as on sockets. */
 final class DiscoveryClient {
-    /** As on sockets: two heartbeats missed and a little more are silence. */
-    private static final long SILENCE_US = 4_500_000;
-    /** As on sockets: where lists are pushed, a broken watch is asked for again after this. */
-    private static final long AGAIN_US = 500_000;
-
     private final World world;
     private final Time time;
     private final int proxy;
@@ -70,7 +66,7 @@
         world.audit.told(proxy, news.version(), source, news.entries(), time.now());
         boolean whole = source != Source.DELTA;
         version = whole ? news.version() : Math.max(version, news.version());
-        Set<String> left = source == Source.DELTA ? new HashSet<>() : new HashSet<>(addresses.keySet());
+        Set<String> left = whole ? new HashSet<>(addresses.keySet()) : new HashSet<>();
         List<Endpoint> endpoints = new ArrayList<>();
         for (Registry.Entry e : order.news(news.version(), whole, news.entries(), e -> e.endpoint().id())) {
             Endpoint endpoint = e.endpoint();
@@ -112,7 +108,7 @@
         /** Nothing comes from now on; the last heartbeat was so long ago. */
         void silence(long agoUs) {
             begin();
-            patience = time.after(SILENCE_US - agoUs, this::fail);
+            patience = time.after(Wire.SILENCE_US - agoUs, this::fail);
         }
 
         void hear(Registry.News news) {
@@ -138,7 +134,7 @@
             if (world.scenario.discovery().asked()) {
                 core.discoveryFailed();
             } else {
-                time.after(AGAIN_US, DiscoveryClient.this::watch);
+                time.after(Wire.AGENT_AGAIN_US, DiscoveryClient.this::watch);
             }
         }
     }
--- a/src/main/java/mulleinfront/emulator/EmulatedWire.java
+++ b/src/main/java/mulleinfront/emulator/EmulatedWire.java
@@ -1,7 +1,6 @@
 package mulleinfront.emulator;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -18,11 +17,6 @@
  * end), with every delay and break drawn.
  */
 final class EmulatedWire implements Wire<Call, Answer> {
-    /** As on sockets: we close first, after this part of the idle time that the settings tell. */
-    private static final double IDLE_PART = 0.75;
-    /** As on sockets: a connection rests after an answer, and this many fresh ones are tried. */
-    private static final long REST_US = 3_000;
-    private static final int MOST_FRESH = 3;
     /** Messages of a handshake, each way, before a request may be sent. */
     private static final int HANDSHAKE_TRIPS = 2;
 
@@ -405,9 +399,4 @@
             end.ended(outcome, answer);
         }
     }
-
-    /** What is out when nothing more can come: for tests of what is left behind. */
-    List<Link> open() {
-        return new ArrayList<>(all);
-    }
 }
--- a/src/main/java/mulleinfront/emulator/Proxy.java
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -26,14 +26,6 @@
         this.chance = world.chance("proxy " + number);
     }
 
-    int number() {
-        return number;
-    }
-
-    int zone() {
-        return zone;
-    }
-
     boolean running() {
         return life != null && life.listening;
     }
@@ -63,10 +55,14 @@
             life = null;
             world.audit.proxyKilled(number);
             killed.end();
-            world.queue.after(world.scenario.proxies().startUs(), () -> start(world.known()));
+            startAgain();
         }
     }
 
+    private void startAgain() {
+        world.queue.after(world.scenario.proxies().startUs(), () -> start(world.known()));
+    }
+
     /** SIGTERM: it takes what still comes for a moment, finishes what it has and ends. */
     void end() {
         if (life == null || life.ending) {
@@ -87,8 +83,8 @@
     }
 
     /** A try's last byte has come; whoever sent it hears how it ended, or nothing if that process dies. */
-    Core.Exchange<Call, Answer> take(Clients.Try t) {
-        return life.take(t);
+    void take(Clients.Try t) {
+        life.take(t);
     }
 
     void gone(Clients.Try t) {
@@ -103,7 +99,7 @@
         private final EmulatedWire wire = new EmulatedWire(world, this, number, zone, discovery,
                 this::mostIdle);
         private final Core<Call, Answer> core =
-                new Core<>(world.scenario.settings(), this, world.fitting.wire(wire, this), world.audit::defect);
+                new Core<>(world.settings, this, world.fitting.wire(wire, this), world.audit::defect);
         private final Map<Clients.Try, Core.Exchange<Call, Answer>> open = new LinkedHashMap<>();
         private boolean alive = true;
         private boolean listening = true;
@@ -138,7 +134,7 @@
             });
         }
 
-        private Core.Exchange<Call, Answer> take(Clients.Try t) {
+        private void take(Clients.Try t) {
             long now = now();
             world.audit.taken(number, t.call.id(), t.call.classIndex(), now, t.deadlineAt);
             core.take(world.fitting.caller(new Caller<Call, Answer>() {
@@ -166,7 +162,6 @@
                 }
             }, this), t.call.id(), t.call.classIndex(), t.call.key(), Math.max(1, (t.deadlineAt - t.sentAt) / 1000), now,
                     0, t.ask.tenant, false, t.call);
-            return open.get(t);
         }
 
         private void over(Clients.Try t, Clients.How how, long retryAfterUs) {
@@ -186,7 +181,7 @@
                 life = null;
                 world.audit.proxyEnded(number, now());
                 end();
-                world.queue.after(world.scenario.proxies().startUs(), () -> start(world.known()));
+                startAgain();
             }
         }
 
--- a/src/main/java/mulleinfront/emulator/Registry.java
+++ b/src/main/java/mulleinfront/emulator/Registry.java
@@ -31,6 +31,8 @@
     private final List<Entry> log = new ArrayList<>();
     private final List<Long> loggedAt = new ArrayList<>();
     private final Map<String, Entry> present = new LinkedHashMap<>();
+    /** All of that as it is told, made when first asked for after a change: thousands may ask. */
+    private News whole;
     private final Set<DiscoveryClient.Watch> watches = new LinkedHashSet<>();
     private boolean announcing;
     private long busyUntil;
@@ -65,6 +67,7 @@
         }
         log.add(entry);
         loggedAt.add(world.queue.now());
+        whole = null;
         if (entry.endpoint().availability() == Availability.GONE) {
             present.remove(entry.endpoint().id());
         } else {
@@ -90,6 +93,14 @@
         return log.size();
     }
 
+    /** The whole list as it is. */
+    News whole() {
+        if (whole == null) {
+            whole = new News(version(), true, List.copyOf(present.values()));
+        }
+        return whole;
+    }
+
     /** The whole list as it was at an instant. */
     News at(long instant) {
         Map<String, Entry> then = new LinkedHashMap<>();
@@ -113,8 +124,7 @@
             return;
         }
         News news = from < 0 || version() - from > 2L * present.size() + 16
-                ? new News(version(), true, List.copyOf(present.values()))
-                : new News(version(), false, List.copyOf(log.subList((int) from, log.size())));
+                ? whole() : new News(version(), false, List.copyOf(log.subList((int) from, log.size())));
         w.toldTo = version();
         Runnable delivery = () -> w.hear(news);
         if (shuffle > 0) {
--- a/src/main/java/mulleinfront/emulator/Scenario.java
+++ b/src/main/java/mulleinfront/emulator/Scenario.java
@@ -193,6 +193,12 @@
                 || type.effect() == Effect.DEDUP && type.scope() == DedupScope.ALL;
     }
 
+    /** The same world with another script. */
+    Scenario withFaults(List<Fault> script) {
+        return new Scenario(name, title, lengthUs, settleUs, zones, network, discovery, proxies, clients, load,
+                servers, classes, tenants, overShareWorth, limits, rules, service, script);
+    }
+
     /** The same world with another number of client proxies; the requests are spread over them. */
     public Scenario withProxies(int count) {
         Proxies p = new Proxies(count, proxies.spread(), proxies.startWithinUs(), proxies.known(),
@@ -207,8 +213,22 @@
         return servers.stream().mapToInt(Servers::count).sum();
     }
 
+    /** Requests of the mean work that all servers can serve in a second when warm and undisturbed, in expectation. */
+    public double fullRate() {
+        return fullRate(servers, classes);
+    }
+
+    static double fullRate(List<Servers> servers, List<ClassSpec> classes) {
+        double work = classes.stream().mapToDouble(c -> c.share() * c.workUs()).sum();
+        return capacity(servers) * 1e6 / work;
+    }
+
     /** Work that all servers can do in a second when warm and undisturbed, in core seconds, in expectation. */
     public double capacity() {
+        return capacity(servers);
+    }
+
+    private static double capacity(List<Servers> servers) {
         return servers.stream().mapToDouble(
                 s -> s.count() * s.cores() * (s.speed().low() + s.speed().high()) / 2).sum();
     }
--- a/src/main/java/mulleinfront/emulator/ScenarioReader.java
+++ b/src/main/java/mulleinfront/emulator/ScenarioReader.java
@@ -135,9 +135,7 @@
                 classes, tenants, overShareWorth, limits, rules, service, List.of());
         List<Scenario.Fault> faults = new FaultReader(world).read(root.ownTables("fault"));
         root.done();
-        return new Scenario(world.name(), title, length, settle, zones, delays, world.discovery(), proxies,
-                world.clients(), load, servers, classes, tenants, overShareWorth, limits, rules, service,
-                faults);
+        return world.withFaults(faults);
     }
 
     private static String name(String file) {
@@ -189,10 +187,7 @@
 
     private static Load load(Section s, List<Servers> servers, List<ClassSpec> classes)
             throws ScenarioException {
-        double capacity = servers.stream().mapToDouble(
-                g -> g.count() * g.cores() * (g.speed().low() + g.speed().high()) / 2).sum();
-        double work = classes.stream().mapToDouble(c -> c.share() * c.workUs()).sum();
-        double full = capacity * 1e6 / work;
+        double full = Scenario.fullRate(servers, classes);
         boolean byShare = s.says("of-capacity") || !s.says("rate") && s.has("of-capacity");
         if (byShare && s.says("rate")) {
             throw s.wrong("rate", "of-capacity says how much already");
@@ -216,10 +211,7 @@
         List<Servers> all = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (Section s : root.tables("servers")) {
-            String name = s.text("name", null);
-            if (!names.add(name)) {
-                throw s.wrong("name", "there is another group called " + name);
-            }
+            String name = newName(s, names, "group");
             int cores = s.count("cores", null, 1);
             Range coldFrom = s.shares("cold-from", Range.of(1), 1);
             boolean byWork = s.word("warm-by", WarmBy.TIME, WarmBy.class) == WarmBy.WORK;
@@ -263,10 +255,7 @@
         Set<String> names = new HashSet<>();
         double sum = 0;
         for (Section s : root.tables("class")) {
-            String name = s.text("name", null);
-            if (!names.add(name)) {
-                throw s.wrong("name", "there is another class called " + name);
-            }
+            String name = newName(s, names, "class");
             Effects effect = s.word("effect", null, Effects.class);
             boolean keyed = effect == Effects.KEYED;
             if (!keyed && (s.has("group") || s.has("window"))) {
@@ -292,7 +281,7 @@
                     s.word("dist", Dist.LOGNORMAL, Dist.class), s.number("cv", 0.45, 0)));
             s.done();
         }
-        if (Math.abs(sum - 1) > 0.001) {
+        if (!makeAll(sum)) {
             throw root.wrong("class", "the shares of all [[class]] make " + percent(sum) + ", not 100%");
         }
         return all;
@@ -303,21 +292,32 @@
         Set<String> names = new HashSet<>();
         double sum = 0;
         for (Section s : root.tables("tenant")) {
-            String name = s.text("name", null);
-            if (!names.add(name)) {
-                throw s.wrong("name", "there is another tenant called " + name);
-            }
+            String name = newName(s, names, "tenant");
             Tenant t = new Tenant(name, s.share("share", null, 1), s.number("usage", 1.0, 0));
             sum += t.share();
             all.add(t);
             s.done();
         }
-        if (!all.isEmpty() && Math.abs(sum - 1) > 0.001) {
+        if (!all.isEmpty() && !makeAll(sum)) {
             throw root.wrong("tenant", "the shares of all [[tenant]] make " + percent(sum) + ", not 100%");
         }
         return all;
     }
 
+    /** The name of a table among those of its kind. */
+    private static String newName(Section s, Set<String> names, String kind) throws ScenarioException {
+        String name = s.text("name", null);
+        if (!names.add(name)) {
+            throw s.wrong("name", "there is another " + kind + " called " + name);
+        }
+        return name;
+    }
+
+    /** Whether shares make the whole, but for how they were rounded. */
+    private static boolean makeAll(double sum) {
+        return Math.abs(sum - 1) <= 0.001;
+    }
+
     private static String percent(double part) {
         return BigDecimal.valueOf(Math.round(part * 1000), 1).stripTrailingZeros().toPlainString() + "%";
     }
@@ -350,7 +350,7 @@
                 s.share("price-cross-zone", 0.03, 1), s.share("price-linger", 0.04, 1),
                 s.share("tenants-of-capacity", 0.85, 100));
         double sum = v.whole() + v.window() + v.worstClass() + v.worstTenant();
-        if (Math.abs(sum - 1) > 0.001) {
+        if (!makeAll(sum)) {
             throw s.wrong("the weights make " + percent(sum) + ", not 100%");
         }
         s.done();
--- a/src/main/java/mulleinfront/emulator/Section.java
+++ b/src/main/java/mulleinfront/emulator/Section.java
@@ -35,10 +35,6 @@
         this.base = base;
     }
 
-    int line() {
-        return line;
-    }
-
     /** Whether the scenario itself says it, rather than the world that it stands on. */
     boolean says(String key) {
         return table.contains(List.of(key));
--- a/src/main/java/mulleinfront/emulator/Trace.java
+++ b/src/main/java/mulleinfront/emulator/Trace.java
@@ -65,15 +65,19 @@
     }
 
     void flush() {
-        digest.update(line, 0, used);
+        write(line, used);
+        used = 0;
+    }
+
+    private void write(byte[] bytes, int length) {
+        digest.update(bytes, 0, length);
         if (file != null) {
             try {
-                file.write(line, 0, used);
+                file.write(bytes, 0, length);
             } catch (IOException e) {
                 throw new UncheckedIOException("the trace: " + e.getMessage(), e);
             }
         }
-        used = 0;
     }
 
     private Trace begin(long now, int proxy, String what) {
@@ -106,14 +110,7 @@
             if (text.charAt(i) > 0x7f || length > ROOM) {
                 byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
                 flush();
-                digest.update(bytes);
-                if (file != null) {
-                    try {
-                        file.write(bytes);
-                    } catch (IOException e) {
-                        throw new UncheckedIOException("the trace: " + e.getMessage(), e);
-                    }
-                }
+                write(bytes, bytes.length);
                 return this;
             }
         }
--- a/src/main/java/mulleinfront/emulator/World.java
+++ b/src/main/java/mulleinfront/emulator/World.java
@@ -1,7 +1,7 @@
 package mulleinfront.emulator;
 
+import java.io.OutputStream;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,6 +16,8 @@
  */
 public final class World {
     final Scenario scenario;
+    /** What each client proxy is told of the scenario. */
+    final Balancer.Settings settings;
     final EventQueue queue = new EventQueue();
     final Network network;
     final Registry registry;
@@ -27,7 +29,6 @@
     final Clients clients;
     final Fitting fitting;
     private final long seed;
-    private final Map<String, Host> byId = new HashMap<>();
     private final List<Host> byAddress = new ArrayList<>();
     private final Map<Object, ServerModel.Group> groups = new LinkedHashMap<>();
 
@@ -39,6 +40,7 @@
     World(Scenario scenario, long seed, Trace trace, Core.Maker maker, Fitting fitting) {
         this.fitting = fitting;
         this.scenario = scenario;
+        this.settings = scenario.settings();
         this.seed = seed;
         this.trace = trace;
         this.network = new Network(scenario.network(), scenario.zones().size(), chance("network"));
@@ -56,7 +58,7 @@
     }
 
     /** A world as it is shipped: with the real module. */
-    public static World of(Scenario scenario, long seed, java.io.OutputStream traceFile) {
+    public static World of(Scenario scenario, long seed, OutputStream traceFile) {
         return new World(scenario, seed, new Trace(traceFile), Balancer::create, Fitting.PLAIN);
     }
 
@@ -94,7 +96,6 @@
                 new Host.Budget(scenario.rules().coldForUs(), scenario.rules().coldMultiple()), chance);
         host.address = byAddress.size();
         byAddress.add(host);
-        byId.put(id, host);
         hosts.add(host);
         return host;
     }
@@ -125,7 +126,7 @@
                 return new Registry.News(spec.ghosts() > 0 ? -1 : old.version(), true, entries);
             }
             default -> {
-                return registry.at(queue.now());
+                return registry.whole();
             }
         }
     }
@@ -137,10 +138,6 @@
         return address < byAddress.size() ? byAddress.get(address) : null;
     }
 
-    Host host(String id) {
-        return byId.get(id);
-    }
-
     /** Begins a process on a machine. */
     ServerModel process(Host host, boolean cold) {
         host.budget.clear();
--- a/src/main/java/mulleinfront/proxy/Call.java
+++ b/src/main/java/mulleinfront/proxy/Call.java
@@ -1,7 +1,6 @@
 package mulleinfront.proxy;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -25,7 +24,6 @@
             "transfer-encoding", "upgrade", "expect", "content-length", DEADLINE.toString());
     /** Longest of those names: most headers are told apart by their length. */
     private static final int LONGEST_OWN = 17;
-    private static final byte[] NO_BODY = {};
 
     static Call of(HttpRequest in, byte[] body) {
         return of(in.method().name(), in.uri(), in.headers(), body);
@@ -63,7 +61,7 @@
     /** A probe. */
     static Call health() {
         return new Call("GET /-/healthy HTTP/1.1\r\nhost: origin.svc\r\n".getBytes(StandardCharsets.US_ASCII),
-                false, NO_BODY);
+                false, Framing.NO_BYTES);
     }
 
     /**
@@ -73,17 +71,6 @@
     ByteBuf encode(long deadlineMs) {
         String more = "X-Deadline-Ms: " + deadlineMs
                 + (statesLength ? "\r\nContent-Length: " + body.length + "\r\n\r\n" : "\r\n\r\n");
-        byte[] all = new byte[head.length + more.length() + body.length];
-        System.arraycopy(head, 0, all, 0, head.length);
-        ascii(more, all, head.length);
-        System.arraycopy(body, 0, all, head.length + more.length(), body.length);
-        return Unpooled.wrappedBuffer(all);
-    }
-
-    /** Puts a text that is known to be ASCII where it belongs. */
-    private static void ascii(String text, byte[] to, int at) {
-        for (int i = 0; i < text.length(); i++) {
-            to[at + i] = (byte) text.charAt(i);
-        }
+        return Framing.whole(head, more, body);
     }
 }
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -42,8 +42,6 @@
      */
     private static final int OWN_SOCKETS = 48;
     static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null);
-    /** The agent that pushes lists answers at once and at no cost, unlike discovery that is asked. */
-    private static final long AGENT_AGAIN_MS = 500;
 
     private final Config config;
     private final EventLoopGroup group;
@@ -226,7 +224,7 @@
         if (config.settings().subscribe()) {
             core.discoveryFailed();
         } else {
-            loop.schedule(discovery::watch, AGENT_AGAIN_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(discovery::watch, Wire.AGENT_AGAIN_US, TimeUnit.MICROSECONDS);
         }
     }
 
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -33,17 +33,14 @@
 import mulleinfront.Balancer.Endpoint;
 import mulleinfront.Balancer.Source;
 import mulleinfront.core.ListOrder;
+import mulleinfront.core.Wire;
 
 /**
  * Discovery's watch, and the hosts as last listed. A watch that ends, falls silent or talks nonsense has
  * failed, once; when to ask again is the module's to say, since discovery has little capacity.
  */
 final class Discovery {
-    /**
-     * A heartbeat comes every 2 s: two missed ones and a little more are silence. What discovery has to tell
-     * counts as told after 6 s even if it never came, so by then the next call must have been answered.
-     */
-    private static final long SILENCE_MS = 4_500;
+    private static final long SILENCE_MS = Wire.SILENCE_US / 1000;
     /** News counts as told 4 s after a move: within that time a silent new address is asked again. */
     private static final long MOVED_SILENCE_MS = 1_800;
     private static final int CONNECT_MS = 1_000;
--- a/src/main/java/mulleinfront/proxy/Framing.java
+++ b/src/main/java/mulleinfront/proxy/Framing.java
@@ -1,5 +1,7 @@
 package mulleinfront.proxy;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -9,6 +11,8 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AsciiString;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Iterator;
 import java.util.List;
 
@@ -18,6 +22,7 @@
  */
 final class Framing {
     static final int MOST_BODY = 64 * 1024;
+    static final byte[] NO_BYTES = {};
     private static final HttpDecoderConfig STRICT = new HttpDecoderConfig().setStrictLineParsing(true)
             .setAllowDuplicateContentLengths(false);
 
@@ -69,6 +74,15 @@
         }
     }
 
+    /** A message in one buffer and so in one write: a head whose characters are bytes, and a body. */
+    static ByteBuf whole(byte[] start, String rest, byte[] body) {
+        byte[] lines = rest.getBytes(StandardCharsets.ISO_8859_1);
+        byte[] all = Arrays.copyOf(start, start.length + lines.length + body.length);
+        System.arraycopy(lines, 0, all, start.length, lines.length);
+        System.arraycopy(body, 0, all, start.length + lines.length, body.length);
+        return Unpooled.wrappedBuffer(all);
+    }
+
     /** Whether a head can be read in one way only, as HTTP/1; says nothing of a body that is yet to come. */
     static boolean sound(HttpMessage head) {
         HttpVersion version = head.protocolVersion();
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -30,7 +30,6 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.Arrays;
 import java.util.LinkedHashSet;
 import java.util.concurrent.TimeUnit;
 import mulleinfront.core.Caller;
@@ -49,7 +48,6 @@
     private static final int MOST_AHEAD = 16;
     private static final int MOST_AHEAD_BYTES = Framing.MOST_BODY;
     private static final int MOST_HELD = 8 * 1024 * 1024;
-    private static final byte[] NO_BYTES = {};
     /** One read at most, so that what is decoded after reading has been stopped stays small. */
     private static final int READ_BYTES = 8 * 1024;
     /** While reading has stopped, one read now and then tells of a client that left. */
@@ -233,7 +231,7 @@
         }
 
         private void end() {
-            byte[] whole = body == null ? NO_BYTES : new byte[body.readableBytes()];
+            byte[] whole = body == null ? Framing.NO_BYTES : new byte[body.readableBytes()];
             if (body != null) {
                 body.readBytes(whole);
                 body = null;
@@ -248,7 +246,7 @@
         private void unreadable(HttpResponseStatus error) {
             lost = true;
             head = null;
-            ahead.add(new Ahead(null, NO_BYTES, 0, error));
+            ahead.add(new Ahead(null, Framing.NO_BYTES, 0, error));
             pump();
         }
 
@@ -369,11 +367,8 @@
                 head.append("retry-after: ").append(BigDecimal.valueOf(retryAfterUs, 6).stripTrailingZeros()
                         .toPlainString()).append("\r\n");
             }
-            byte[] lines = head.append(last ? "connection: close\r\n\r\n" : "\r\n").toString()
-                    .getBytes(StandardCharsets.ISO_8859_1);
-            byte[] all = Arrays.copyOf(lines, lines.length + what.body().length);
-            System.arraycopy(what.body(), 0, all, lines.length, what.body().length);
-            return Unpooled.wrappedBuffer(all);
+            head.append(last ? "connection: close\r\n\r\n" : "\r\n");
+            return Framing.whole(Framing.NO_BYTES, head.toString(), what.body());
         }
 
         /** From here on the connection is quiet: also one whose client does not read its answer. */
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -39,15 +39,10 @@
  * an attempt is written whole once at most, and ends exactly once, with the outcome that can be vouched for.
  */
 final class Upstream {
-    /** Part of the settings' idle time after which we close first: a host closes at the whole of it. */
-    private static final double IDLE_PART = 0.75;
     private static final long SWEEP_MS = 100;
-    /** How long a connection rests after an answer: what follows that unasked must not meet a new request. */
-    private static final long REST_NANOS = 3_000_000;
+    private static final long REST_NANOS = Wire.REST_US * 1000;
     /** Interim answers (1xx) to one request; more of them is noise. */
     private static final int MOST_INTERIM = 16;
-    /** Fresh connections to one attempt, as long as they are reset before a request is written whole. */
-    private static final int MOST_FRESH = 3;
     /**
      * A host may close sooner than the settings say and not tell: a reset this soon after a request was
      * written to a connection that had been idle for at least so long. Then less idleness is allowed, and
@@ -81,7 +76,7 @@
         this.loop = loop;
         this.mostIdle = mostIdle;
         this.mostConnections = mostConnections;
-        this.mostIdleNanos = (long) (connIdleUs * 1000 * IDLE_PART);
+        this.mostIdleNanos = (long) (connIdleUs * 1000 * Wire.IDLE_PART);
         this.idleNanos = mostIdleNanos;
         this.bootstrap = new Bootstrap().group(loop)
                 .option(ChannelOption.ALLOCATOR, BUFFERS)
@@ -214,7 +209,7 @@
                     up.channel().close();
                 } else if (f.isSuccess()) {
                     write(made, false);
-                } else if (resetAtOnce(f.cause()) && fresh < MOST_FRESH) {
+                } else if (resetAtOnce(f.cause()) && fresh < Wire.MOST_FRESH) {
                     connect();
                 } else {
                     finish(Outcome.CONNECT_ERROR, null);
@@ -242,7 +237,7 @@
                 if (f.isSuccess() || over) {
                     return;
                 }
-                if (reused || fresh < MOST_FRESH) {
+                if (reused || fresh < Wire.MOST_FRESH) {
                     idleFor = 0;
                     release();
                     connect();
