--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.TreeSet;
@@ -83,6 +84,8 @@
     private static final double BOUND = 1.25;
     /** Time over which what is asked for is counted, microseconds: long, since many see little. */
     private static final double ASKED_US = 30_000_000;
+    /** Endpoints weighed anew for each that a list names: a change costs in proportion to itself. */
+    private static final int WEIGHED = 64;
     /** Sends to a cold endpoint that may be saved up. */
     private static final double MOST_CREDIT = 2;
     /** Usable owners among which a request may spill: a key stays warm on few endpoints, not on all. */
@@ -138,8 +141,8 @@
     private final TreeSet<Req> held = new TreeSet<>(
             Comparator.comparingDouble((Req r) -> -r.worth).thenComparingLong(r -> r.order));
     private final Ring<Node> ring = new Ring<>();
-    /** Listed endpoints in order of listing. */
-    private final List<Node> listed = new ArrayList<>();
+    /** Listed endpoints in order of listing; one is taken out without a look at the others. */
+    private final LinkedHashSet<Node> listed = new LinkedHashSet<>();
     private final double[] meanLag;
     private final double[] usualLag;
     /** Mean deviation of a class's lag: from jitter and from our own queue as much as from the endpoint's. */
@@ -156,6 +159,11 @@
     /** Capacity of all usable endpoints, and what was asked for of late; see {@link #weigh}. */
     private double capacity;
     private double offered;
+    /** The best of the listed kinds' ratios when last weighed. */
+    private double bestKind = 1;
+    /** Listed weight of all endpoints, and of the ejected ones among them. */
+    private double weight;
+    private double ejectedWeight;
     /** Part of the latest answers, over all endpoints, that were late or lost. */
     private double strain;
     /** Part of the endpoints heard of late whose last answer was late or lost: each counts once. */
@@ -215,25 +223,29 @@
         }
         walk++;
         for (Endpoint e : entries) {
-            Node n = nodes.computeIfAbsent(e.id(), id -> new Node(id, HASH.hashCharsToLong(id), FIRST_LIMIT));
-            n.seen = walk;
+            Node n = nodes.get(e.id());
             if (e.availability() != Availability.GONE) {
+                n = n != null ? n : new Node(e.id(), HASH.hashCharsToLong(e.id()), FIRST_LIMIT);
+                nodes.put(e.id(), n);
+                n.seen = walk;
                 update(n, e, now);
-            } else if (n.onRing) {
+            } else if (n != null && n.onRing) {
                 leave(n);
             }
         }
         if (source != Source.DELTA) {
             List.copyOf(listed).stream().filter(n -> n.seen != walk).forEach(this::leave);
         }
-        nodes.values().removeIf(n -> !n.onRing && n.outstanding.isEmpty());
         ring.merge();
-        weigh(now);
+        if (listed.size() <= WEIGHED * entries.size()) {
+            weigh(now);
+        }
         retryHeld(now);
         arm(now);
     }
 
     private void update(Node n, Endpoint e, long now) {
+        tally(n, -1);
         n.zone = e.zone();
         n.kind = e.kind() & KINDS - 1;
         n.cell = e.cell();
@@ -250,6 +262,8 @@
             join(n);
         }
         n.ready = e.availability() == Availability.READY;
+        tally(n, 1);
+        count(n, now);
     }
 
     @Override
@@ -271,17 +285,38 @@
     private void join(Node n) {
         n.onRing = true;
         listed.add(n);
-        long count = Math.max(FEWEST_POINTS, Math.min(MOST_POINTS, Math.round(POINTS * size(n))));
-        long[] points = new long[(int) count];
+        n.points = (int) Math.max(FEWEST_POINTS, Math.min(MOST_POINTS, Math.round(POINTS * size(n))));
+        ring.add(n, points(n));
+    }
+
+    private static long[] points(Node n) {
+        long[] points = new long[n.points];
         Arrays.setAll(points, k -> HASH.hashLongLongToLong(n.hash, k));
-        ring.add(n, points);
+        return points;
     }
 
     private void leave(Node n) {
+        tally(n, -1);
+        capacity -= n.counted;
+        n.counted = 0;
         n.onRing = false;
         n.ready = false;
         listed.remove(n);
-        ring.remove(n);
+        ring.remove(n, points(n));
+        forget(n);
+    }
+
+    /** Takes a listed endpoint into the sums of weights, or out of them. */
+    private void tally(Node n, int sign) {
+        weight += n.onRing ? sign * n.weight : 0;
+        ejectedWeight += n.onRing && n.ejected ? sign * n.weight : 0;
+    }
+
+    /** One that is no longer listed is kept only while attempts are out there. */
+    private void forget(Node n) {
+        if (!n.onRing && n.outstanding.isEmpty()) {
+            nodes.remove(n.id, n);
+        }
     }
 
     /** Listed size; weights that follow load would move keys with every list and count as 1. */
@@ -305,9 +340,9 @@
         boolean flawed = false;
         Node ejected = null;
         int usable = 0;
-        int from = ring.first(r.hash);
-        for (int k = 0; k < ring.size() && left > 0 && (usable < OWNERS || keyless); k++) {
-            Node n = ring.owner(from + k);
+        ring.seek(r.hash);
+        while (left > 0 && (usable < OWNERS || keyless)) {
+            Node n = ring.next();
             if (n.seen == walk) {
                 continue;
             }
@@ -361,7 +396,9 @@
         weighedAt = now;
         offered *= keep;
         capacity = 0;
-        double best = listed.stream().mapToDouble(n -> kindRatio[n.kind]).min().orElse(1);
+        weight = 0;
+        ejectedWeight = 0;
+        bestKind = listed.stream().mapToDouble(n -> kindRatio[n.kind]).min().orElse(1);
         double heard = 1;
         double late = 0;
         for (Node n : listed) {
@@ -371,12 +408,21 @@
             }
             n.offered *= keep;
             n.limit = n.limit < 1 ? Math.min(1, n.limit / keep) : n.limit;
-            n.capacity = size(n) * ramp(n, now) * Math.max(LEAST_KIND, best / kindRatio[n.kind]);
-            capacity += n.ready && !n.ejected ? n.capacity : 0;
+            n.counted = 0;
+            count(n, now);
+            tally(n, 1);
         }
         lateShare = late / heard;
     }
 
+    /** Brings one endpoint's capacity up to date, and its part of that of all. */
+    private void count(Node n, long now) {
+        n.capacity = size(n) * ramp(n, now) * Math.max(LEAST_KIND, bestKind / kindRatio[n.kind]);
+        capacity -= n.counted;
+        n.counted = n.ready && !n.ejected ? n.capacity : 0;
+        capacity += n.counted;
+    }
+
     // ---- slow start ----------------------------------------------------------------------------------
 
     /** The share of its capacity that a cold endpoint surely has: rises evenly over the stated time. */
@@ -472,11 +518,10 @@
         if (!n.onRing || n.ejected && now < n.ejectedUntil) {
             return;
         }
-        double all = listed.stream().mapToDouble(o -> o.weight).sum();
-        double outWeight = listed.stream().filter(o -> o.ejected || o == n).mapToDouble(o -> o.weight).sum();
-        if (!down && !n.ejected && outWeight > MOST_EJECTED * all) {
+        if (!down && !n.ejected && ejectedWeight + n.weight > MOST_EJECTED * weight) {
             return;
         }
+        ejectedWeight += n.ejected ? 0 : n.weight;
         boolean soon = now - n.ejectedUntil < LONGEST_EJECT_US && n.ejectedFor > 0;
         n.ejectedFor = soon ? Math.min(2 * n.ejectedFor, LONGEST_EJECT_US) : EJECT_US;
         n.ejectedUntil = now + n.ejectedFor;
@@ -497,7 +542,9 @@
             eject(n, now, wasDown && outcome == Outcome.CONNECT_ERROR);
             return;
         }
+        tally(n, -1);
         readmit(n);
+        tally(n, 1);
         if (wasDown) {
             // It was away: whether or not discovery says so, it may have started afresh.
             cool(n, now);
@@ -830,9 +877,7 @@
         Attempt a = r.attempts.get(end.attempt());
         a.outcome = end.outcome();
         a.node.outstanding.remove(a);
-        if (!a.node.onRing && a.node.outstanding.isEmpty()) {
-            nodes.remove(a.node.id, a.node);
-        }
+        forget(a.node);
         r.outstanding--;
         if (r.outstanding == 0) {
             ended.remove(end.requestId());
--- a/src/main/java/mulleinfront/State.java
+++ b/src/main/java/mulleinfront/State.java
@@ -23,11 +23,15 @@
         long promptAt = Long.MIN_VALUE / 2;
         long busyUntil;
         double capacity;
+        /** What of it is in the sum over all endpoints. */
+        double counted;
         double offered;
         long warmFrom;
         boolean cold;
         boolean ready;
         boolean onRing;
+        /** Its points on the ring, as many as when it joined: listed weights may change since. */
+        int points;
         final List<Attempt> outstanding = new ArrayList<>();
         double limit;
         boolean everCut;
--- a/src/main/java/mulleinfront/cli/Bench.java
+++ b/src/main/java/mulleinfront/cli/Bench.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import mulleinfront.bench.Decisions;
 import mulleinfront.bench.Throughput;
 import mulleinfront.emulator.Scenario;
 import mulleinfront.emulator.ScenarioException;
@@ -20,7 +21,8 @@
 import picocli.CommandLine.Spec;
 
 /** {@code bench}: measurements that anyone can repeat; no test depends on them. */
-@Command(name = "bench", mixinStandardHelpOptions = true, subcommands = {Bench.Emulator.class, Bench.OnSockets.class},
+@Command(name = "bench", mixinStandardHelpOptions = true, subcommands = {Bench.Emulator.class, Bench.Module.class,
+        Bench.OnSockets.class},
         description = "Measures this program on this machine.")
 final class Bench implements Runnable {
     @Spec
@@ -103,6 +105,37 @@
         }
     }
 
+    /** The decision module by itself. */
+    @Command(name = "decisions", mixinStandardHelpOptions = true,
+            description = "Cost of the decision module by itself as hosts become more: a request with its answer, one"
+                    + " host replaced, a whole list that says nothing new.")
+    static final class Module implements Runnable {
+        @Spec
+        private CommandSpec spec;
+
+        @Option(names = "--hosts", split = ",", paramLabel = "N", defaultValue = "12,200,1000,5000",
+                description = "sizes of the fleet (default ${DEFAULT-VALUE})")
+        private int[] hosts;
+
+        @Option(names = "--requests", paramLabel = "N", defaultValue = "400000",
+                description = "counted requests of each size (default ${DEFAULT-VALUE})")
+        private int requests;
+
+        @Option(names = "--changes", paramLabel = "N", defaultValue = "2000",
+                description = "counted replacements of a host (default ${DEFAULT-VALUE})")
+        private int changes;
+
+        @Override
+        public void run() {
+            PrintWriter out = spec.commandLine().getOut();
+            out.printf(Locale.ROOT, "%8s %12s %12s %14s %14s%n", "hosts", "us a request", "bytes", "us a change",
+                    "us a list");
+            for (int count : hosts) {
+                new Decisions(out, requests, changes).measure(count);
+            }
+        }
+    }
+
     /** Direct, relay and client proxy under the same load. */
     @Command(name = "throughput", mixinStandardHelpOptions = true,
             description = "Requests a second, latency, CPU and allocation a request: straight to stand-in hosts, over a"
--- a/src/test/java/mulleinfront/RingTest.java
+++ b/src/test/java/mulleinfront/RingTest.java
@@ -16,27 +16,34 @@
         Ring<String> ring = new Ring<>();
         TreeMap<Long, String> map = new TreeMap<>();
         for (int step = 0; step < 200; step++) {
-            for (int i = 0; i < 3; i++) {
-                String owner = ("o" + random.nextInt(20)).intern();
+            for (int i = 0; i < 3 + step % 5; i++) {
+                String owner = ("o" + random.nextInt(step < 100 ? 200 : 4)).intern();
                 if (map.containsValue(owner)) {
                     map.values().removeIf(owner::equals);
-                    ring.remove(owner);
+                    ring.remove(owner, points(owner));
                 } else {
-                    long[] points = new Random(owner.hashCode()).longs(40).toArray();
-                    for (long p : points) {
+                    for (long p : points(owner)) {
                         map.put(p & ~0xffffL, owner);
                     }
-                    ring.add(owner, points);
+                    ring.add(owner, points(owner));
                 }
             }
             ring.merge();
             assertEquals(map.size(), ring.size());
             for (int i = 0; i < 30 && !map.isEmpty(); i++) {
                 long hash = random.nextLong();
+                ring.seek(hash);
                 var entry = map.ceilingEntry(hash & ~0xffffL);
-                assertSame(entry == null ? map.firstEntry().getValue() : entry.getValue(),
-                        ring.owner(ring.first(hash)));
+                for (int k = 0; k < map.size() + 1; k++) {
+                    entry = entry == null ? map.firstEntry() : entry;
+                    assertSame(entry.getValue(), ring.next());
+                    entry = map.higherEntry(entry.getKey());
+                }
             }
         }
     }
+
+    private static long[] points(String owner) {
+        return new Random(owner.hashCode()).longs(40).toArray();
+    }
 }
