--- a/src/main/java/mulleinfront/bench/Child.java
+++ b/src/main/java/mulleinfront/bench/Child.java
@@ -14,7 +14,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import mulleinfront.proxy.ClientProxy;
-import mulleinfront.proxy.Config;
+import mulleinfront.proxy.Serve;
+import mulleinfront.settings.Config;
+import mulleinfront.settings.Machine;
 
 /**
  * One part of a measurement as a process: it says where it listens, answers each line on its standard input with its
@@ -33,7 +35,7 @@
     /**
      * The process's entry.
      *
-     * @param args {@code hosts COUNT MICROS}, {@code relay PORT} or {@code proxy CONFIG-JSON}
+     * @param args {@code hosts COUNT MICROS}, {@code relay PORT} or {@code proxy CONFIG-JSON LOOPS}
      */
     public static void main(String... args) throws Exception {
         String ports;
@@ -48,8 +50,12 @@
             }
             case "relay" -> ports = "" + StandIn.relay(
                     new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()), Integer.parseInt(args[1]));
-            case "proxy" -> ports = "" + ClientProxy.start(
-                    Config.parse(args[1].getBytes(StandardCharsets.UTF_8))).port();
+            case "proxy" -> {
+                Config config = Config.parse(args[1].getBytes(StandardCharsets.UTF_8));
+                int loops = Integer.parseInt(args[2]);
+                ports = "" + (loops == 1 ? ClientProxy.start(config)
+                        : Serve.start(config, new Machine(loops, 0)).get(0)).port();
+            }
             default -> throw new IllegalArgumentException("unknown part " + args[0]);
         }
         System.out.println(ports);
@@ -75,12 +81,12 @@
         /**
          * Starts a part.
          *
-         * @param cpu the processor to keep it on, or -1; kept to only where {@code taskset} is installed
+         * @param cpus the processors to keep it on, or empty; kept to only where {@code taskset} is installed
          */
-        Handle(int cpu, List<String> jvm, String... args) throws IOException {
+        Handle(String cpus, List<String> jvm, String... args) throws IOException {
             List<String> command = new ArrayList<>();
-            if (cpu >= 0 && Path.of("/usr/bin/taskset").toFile().canExecute()) {
-                command.addAll(List.of("/usr/bin/taskset", "-c", "" + cpu));
+            if (!cpus.isEmpty() && Path.of("/usr/bin/taskset").toFile().canExecute()) {
+                command.addAll(List.of("/usr/bin/taskset", "-c", cpus));
             }
             command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
             command.addAll(jvm);
--- a/src/main/java/mulleinfront/bench/Throughput.java
+++ b/src/main/java/mulleinfront/bench/Throughput.java
@@ -17,20 +17,20 @@
     private final PrintWriter out;
     private final long warmMs;
     private final long measuredMs;
-    private final int cpu;
+    private final String cpus;
     private final List<String> proxyJvm;
 
     /**
-     * @param cpu the processor that relay and client proxy are kept on, or -1
+     * @param cpus the processors that relay and client proxy are kept on, or empty
      * @param proxyJvm further flags of the client proxy's JVM: a profiler's, say
      */
-    public Throughput(PrintWriter out, long warmMs, long measuredMs, int cpu, List<String> proxyJvm) {
+    public Throughput(PrintWriter out, long warmMs, long measuredMs, String cpus, List<String> proxyJvm) {
         this.proxyJvm = new ArrayList<>(DEPLOYED);
         this.proxyJvm.addAll(proxyJvm);
         this.out = out;
         this.warmMs = warmMs;
         this.measuredMs = measuredMs;
-        this.cpu = cpu;
+        this.cpus = cpus;
     }
 
     /** One line of a table. */
@@ -43,9 +43,9 @@
      * @param open share of the direct rate at which an open loop is run too; 0: none
      */
     public void measure(long micros, int[] connections, double open) throws IOException, InterruptedException {
-        try (Child.Handle hosts = new Child.Handle(-1, List.of("-XX:+UseSerialGC"), "hosts", "" + HOSTS, "" + micros);
-                Child.Handle relay = new Child.Handle(cpu, DEPLOYED, "relay", "" + hosts.ports.get(0));
-                Child.Handle proxy = new Child.Handle(cpu, proxyJvm, "proxy", config(hosts.ports))) {
+        try (Child.Handle hosts = new Child.Handle("", List.of("-XX:+UseSerialGC"), "hosts", "" + HOSTS, "" + micros);
+                Child.Handle relay = new Child.Handle(cpus, DEPLOYED, "relay", "" + hosts.ports.get(0));
+                Child.Handle proxy = new Child.Handle(cpus, proxyJvm, "proxy", config(hosts.ports), "1")) {
             for (int count : connections) {
                 out.printf(Locale.ROOT, "%nhosts of %.1f ms, %d connections%n%-22s %11s %9s %9s %9s %9s %9s %9s%n",
                         micros / 1e3, count, "", "requests/s", "p50 ms", "p99 ms", "p99.9 ms", "no 200", "cpu us",
@@ -67,6 +67,26 @@
         }
     }
 
+    /**
+     * Measures the client proxy with several event loops against itself with the first number of them.
+     *
+     * @param micros mean time to a host's answer; 0: at once
+     */
+    public void measureLoops(long micros, int count, int[] loops) throws IOException, InterruptedException {
+        try (Child.Handle hosts = new Child.Handle("", List.of("-XX:+UseSerialGC"), "hosts", "" + HOSTS, "" + micros)) {
+            out.printf(Locale.ROOT, "%nhosts of %.1f ms, %d connections%n%-22s %11s %9s %9s %9s %9s %9s %9s%n",
+                    micros / 1e3, count, "", "requests/s", "p50 ms", "p99 ms", "p99.9 ms", "no 200", "cpu us", "bytes");
+            double first = 0;
+            for (int many : loops) {
+                try (Child.Handle proxy = new Child.Handle(cpus, proxyJvm, "proxy", config(hosts.ports), "" + many)) {
+                    Row row = row(many + (many == 1 ? " event loop" : " event loops"), count, proxy.ports, proxy, 0);
+                    first = first == 0 ? row.result.perSecond() : first;
+                    out.printf(Locale.ROOT, "  %.2f times the first%n", row.result.perSecond() / first);
+                }
+            }
+        }
+    }
+
     private Row row(String name, int connections, List<Integer> ports, Child.Handle measured, double perSecond)
             throws InterruptedException {
         Figures[] at = new Figures[1];
--- a/src/main/java/mulleinfront/benchlink/Adapter.java
+++ b/src/main/java/mulleinfront/benchlink/Adapter.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.io.InputStream;
@@ -55,13 +54,6 @@
         }
     }
 
-    /** One plain line that says what went wrong. */
-    public static String plain(Exception e) {
-        String text = e instanceof JsonProcessingException j ? "malformed input: " + j.getOriginalMessage()
-                : String.valueOf(e.getMessage());
-        return text.replace('\n', ' ');
-    }
-
     private boolean batch() throws IOException {
         JsonToken first = in.nextToken();
         if (first == null) {
--- a/src/main/java/mulleinfront/benchlink/EventReader.java
+++ b/src/main/java/mulleinfront/benchlink/EventReader.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import mulleinfront.Balancer.Availability;
 import mulleinfront.Balancer.Endpoint;
+import mulleinfront.settings.SettingsReader;
 
 /** Reads the groups of a batch into events that are used again from batch to batch. */
 final class EventReader {
--- a/src/main/java/mulleinfront/cli/Bench.java
+++ b/src/main/java/mulleinfront/cli/Bench.java
@@ -11,7 +11,7 @@
 import mulleinfront.bench.Decisions;
 import mulleinfront.bench.Throughput;
 import mulleinfront.emulator.Scenario;
-import mulleinfront.emulator.ScenarioException;
+import mulleinfront.settings.BadFileException;
 import mulleinfront.emulator.ScenarioReader;
 import mulleinfront.emulator.World;
 import picocli.CommandLine.Command;
@@ -68,7 +68,7 @@
             Scenario scenario;
             try {
                 scenario = ScenarioReader.read(file).withProxies(count);
-            } catch (ScenarioException e) {
+            } catch (BadFileException e) {
                 throw new IllegalArgumentException(e.getMessage(), e);
             }
             double virtual = (scenario.lengthUs() + scenario.settleUs()) / 1e6;
@@ -161,9 +161,13 @@
                         + " it was due; 0: none (default ${DEFAULT-VALUE})")
         private double open;
 
-        @Option(names = "--cpu", paramLabel = "N", defaultValue = "-1",
-                description = "keeps relay and client proxy on this processor, where taskset is installed")
-        private int cpu;
+        @Option(names = "--cpu", paramLabel = "N[-M]", defaultValue = "",
+                description = "keeps relay and client proxy on these processors, where taskset is installed")
+        private String cpu;
+
+        @Option(names = "--loops", split = ",", paramLabel = "N", description = "the client proxy alone, with these"
+                + " numbers of event loops in turn, each against the first")
+        private int[] loops = {};
 
         @Option(names = "--proxy-jvm", paramLabel = "FLAG", description = "a further flag of the client proxy's JVM; may"
                 + " be given more than once")
@@ -174,6 +178,12 @@
             Throughput bench = new Throughput(spec.commandLine().getOut(), (long) (500 * seconds),
                     (long) (1000 * seconds), cpu, proxyJvm);
             for (double ms : hostsMs) {
+                for (int count : loops.length == 0 ? new int[0] : connections) {
+                    bench.measureLoops((long) (ms * 1000), count, loops);
+                }
+                if (loops.length > 0) {
+                    continue;
+                }
                 bench.measure((long) (ms * 1000), connections, open);
             }
             return CommandLine.KEPT;
--- a/src/main/java/mulleinfront/cli/CommandLine.java
+++ b/src/main/java/mulleinfront/cli/CommandLine.java
@@ -1,7 +1,7 @@
 package mulleinfront.cli;
 
 import java.io.PrintWriter;
-import mulleinfront.emulator.ScenarioException;
+import mulleinfront.settings.BadFileException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.ParameterException;
@@ -43,7 +43,7 @@
             return BAD_INPUT;
         });
         line.setExecutionExceptionHandler((failure, at, parsed) -> {
-            boolean bad = failure instanceof ScenarioException;
+            boolean bad = failure instanceof BadFileException;
             at.getErr().println("mulleinfront: " + plain(failure));
             return bad ? BAD_INPUT : FAILED;
         });
--- a/src/main/java/mulleinfront/cli/Emulate.java
+++ b/src/main/java/mulleinfront/cli/Emulate.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.Callable;
 import mulleinfront.emulator.ReportWriter;
 import mulleinfront.emulator.Scenario;
-import mulleinfront.emulator.ScenarioException;
+import mulleinfront.settings.BadFileException;
 import mulleinfront.emulator.ScenarioReader;
 import mulleinfront.emulator.Sweep;
 import mulleinfront.emulator.World;
@@ -54,7 +54,7 @@
     private int jobs = Runtime.getRuntime().availableProcessors();
 
     @Override
-    public Integer call() throws ScenarioException, IOException, InterruptedException {
+    public Integer call() throws BadFileException, IOException, InterruptedException {
         Scenario scenario = ScenarioReader.read(file);
         if (seeds == null) {
             return one(scenario);
@@ -65,7 +65,7 @@
         return sweep(scenario);
     }
 
-    private int one(Scenario scenario) throws IOException, ScenarioException {
+    private int one(Scenario scenario) throws IOException, BadFileException {
         World.Result result;
         try (OutputStream to = trace == null ? null : open(trace)) {
             result = World.of(scenario, seed, to).play();
@@ -81,11 +81,11 @@
         return result.breachCount() == 0 ? CommandLine.KEPT : CommandLine.RULE_BROKEN;
     }
 
-    private static OutputStream open(Path path) throws ScenarioException {
+    private static OutputStream open(Path path) throws BadFileException {
         try {
             return new BufferedOutputStream(Files.newOutputStream(path), 1 << 16);
         } catch (IOException e) {
-            throw new ScenarioException(path + ": can't be written (" + e.getMessage() + ")");
+            throw new BadFileException(path + ": can't be written (" + e.getMessage() + ")");
         }
     }
 
--- a/src/main/java/mulleinfront/emulator/Clients.java
+++ b/src/main/java/mulleinfront/emulator/Clients.java
@@ -183,7 +183,7 @@
         };
         int proxy = arrivals.place(proxies);
         Ask ask = new Ask(c, spec.type(), tenant, key, "e" + ids, Math.max(1, work), overShare(tenant),
-                world.queue.now(), proxy, scenario.clients().patience().draw(habits),
+                world.queue.now(), proxy, scenario.clients().patience().draw(habits::between),
                 habits.happens(scenario.clients().honour()));
         world.tally.asked(ask);
         attempt(ask);
@@ -233,7 +233,7 @@
     }
 
     private long way() {
-        return (long) scenario.network().client().draw(habits);
+        return (long) scenario.network().client().draw(habits::between);
     }
 
     /** The client waits no longer and closes its connection. */
@@ -266,7 +266,7 @@
             return;
         }
         boolean harmless = how == How.REFUSED || how == How.UNREACHABLE || Scenario.refusable(ask.type);
-        double wait = scenario.clients().backoff().draw(habits)
+        double wait = scenario.clients().backoff().draw(habits::between)
                 * (scenario.clients().doubling() ? 1 << Math.min(16, ask.tries - 1) : 1);
         if (ask.honours) {
             wait = Math.max(wait, retryAfterUs);
--- a/src/main/java/mulleinfront/emulator/FaultReader.java
+++ b/src/main/java/mulleinfront/emulator/FaultReader.java
@@ -6,6 +6,9 @@
 import java.util.Set;
 import mulleinfront.emulator.Scenario.Fault;
 import mulleinfront.emulator.Scenario.Kind;
+import mulleinfront.settings.BadFileException;
+import mulleinfront.settings.Range;
+import mulleinfront.settings.Section;
 
 /** Reads the script of faults, each against the world that it is to happen in. */
 final class FaultReader {
@@ -23,7 +26,7 @@
         }
     }
 
-    List<Fault> read(List<Section> sections) throws ScenarioException {
+    List<Fault> read(List<Section> sections) throws BadFileException {
         List<Fault> all = new ArrayList<>();
         for (Section s : sections) {
             all.add(read(s));
@@ -32,7 +35,7 @@
         return all;
     }
 
-    private Fault read(Section s) throws ScenarioException {
+    private Fault read(Section s) throws BadFileException {
         Kind kind = s.word("do", null, Kind.class);
         long at = s.time("at", null);
         if (at > world.lengthUs()) {
@@ -113,11 +116,11 @@
                 moved);
     }
 
-    private int part(Section s) throws ScenarioException {
+    private int part(Section s) throws BadFileException {
         return Math.max(1, (int) Math.round(s.share("part", null, 1) * world.fleet()));
     }
 
-    private static int place(Section s, String key, List<String> names) throws ScenarioException {
+    private static int place(Section s, String key, List<String> names) throws BadFileException {
         String name = s.text(key, null);
         int at = names.indexOf(name);
         if (at < 0) {
--- a/src/main/java/mulleinfront/emulator/Network.java
+++ b/src/main/java/mulleinfront/emulator/Network.java
@@ -18,7 +18,7 @@
         this.cutZones = new int[zones];
         for (int a = 0; a < zones; a++) {
             for (int b = a; b < zones; b++) {
-                long us = Math.max(1, (long) (a == b ? spec.same() : spec.cross()).draw(chance));
+                long us = Math.max(1, (long) (a == b ? spec.same() : spec.cross()).draw(chance::between));
                 oneWay[a][b] = us;
                 oneWay[b][a] = us;
             }
--- a/src/main/java/mulleinfront/emulator/Registry.java
+++ b/src/main/java/mulleinfront/emulator/Registry.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import mulleinfront.Balancer.Availability;
 import mulleinfront.Balancer.Endpoint;
+import mulleinfront.settings.Range;
 
 /**
  * Discovery: what it knows of the servers, later than it happens, and those who watch it. A call takes its time
@@ -55,7 +56,7 @@
         Entry entry = new Entry(host.listed(availability), host.address);
         Range notice = silently ? spec.silentNotice() : availability == Availability.READY ? spec.period()
                 : spec.notice();
-        world.queue.after((long) notice.draw(chance), () -> know(entry));
+        world.queue.after((long) notice.draw(chance::between), () -> know(entry));
     }
 
     /** Known at once: how the world is at its start. */
@@ -80,7 +81,7 @@
     private void announce() {
         if (!announcing && !watches.isEmpty()) {
             announcing = true;
-            world.queue.after((long) spec.period().draw(chance), () -> {
+            world.queue.after((long) spec.period().draw(chance::between), () -> {
                 announcing = false;
                 for (DiscoveryClient.Watch w : List.copyOf(watches)) {
                     tell(w);
@@ -138,7 +139,7 @@
     }
 
     private long way(DiscoveryClient.Watch w) {
-        return world.network.delay(w.zone(), 0) + (long) late.draw(chance);
+        return world.network.delay(w.zone(), 0) + (long) late.draw(chance::between);
     }
 
     private void deliverShuffled() {
--- a/src/main/java/mulleinfront/emulator/Scenario.java
+++ b/src/main/java/mulleinfront/emulator/Scenario.java
@@ -5,6 +5,7 @@
 import mulleinfront.Balancer;
 import mulleinfront.Balancer.DedupScope;
 import mulleinfront.Balancer.Effect;
+import mulleinfront.settings.Range;
 
 /**
  * A world and a timed script of what goes wrong in it, as {@link ScenarioReader} reads it from a file. All
--- a/src/main/java/mulleinfront/emulator/ScenarioReader.java
+++ b/src/main/java/mulleinfront/emulator/ScenarioReader.java
@@ -28,6 +28,9 @@
 import mulleinfront.emulator.Scenario.Service;
 import mulleinfront.emulator.Scenario.Shape;
 import mulleinfront.emulator.Scenario.Tenant;
+import mulleinfront.settings.BadFileException;
+import mulleinfront.settings.Range;
+import mulleinfront.settings.Section;
 import org.tomlj.Toml;
 import org.tomlj.TomlParseError;
 import org.tomlj.TomlParseResult;
@@ -50,34 +53,34 @@
     /**
      * Reads a file, and the file of the world that it stands on, if it names one.
      *
-     * @throws ScenarioException one line with file, line and reason
+     * @throws BadFileException one line with file, line and reason
      */
-    public static Scenario read(Path file) throws ScenarioException {
+    public static Scenario read(Path file) throws BadFileException {
         return read(file.toString(), text(file), world -> {
             Path beside = file.resolveSibling(world);
             return new String[] {beside.toString(), text(beside)};
         });
     }
 
-    private static String text(Path file) throws ScenarioException {
+    private static String text(Path file) throws BadFileException {
         try {
             return Files.readString(file, StandardCharsets.UTF_8);
         } catch (NoSuchFileException e) {
-            throw new ScenarioException(file + ": there is no such file");
+            throw new BadFileException(file + ": there is no such file");
         } catch (MalformedInputException e) {
-            throw new ScenarioException(file + ": is not UTF-8 text");
+            throw new BadFileException(file + ": is not UTF-8 text");
         } catch (IOException e) {
-            throw new ScenarioException(file + ": can't be read (" + e.getMessage() + ")");
+            throw new BadFileException(file + ": can't be read (" + e.getMessage() + ")");
         }
     }
 
     /** Gives the name and the text of the world that a scenario stands on. */
     interface Worlds {
-        String[] find(String name) throws ScenarioException;
+        String[] find(String name) throws BadFileException;
     }
 
     /** The same from texts: {@code file} is how to call it in messages. */
-    static Scenario read(String file, String text, Worlds worlds) throws ScenarioException {
+    static Scenario read(String file, String text, Worlds worlds) throws BadFileException {
         Section own = root(file, text, null);
         String world = own.table("scenario").text("world", "");
         if (world.isEmpty()) {
@@ -91,17 +94,17 @@
         return read(file, root(file, text, base));
     }
 
-    private static Section root(String file, String text, Section base) throws ScenarioException {
+    private static Section root(String file, String text, Section base) throws BadFileException {
         TomlParseResult parsed = Toml.parse(text);
         if (parsed.hasErrors()) {
             TomlParseError first = parsed.errors().get(0);
-            throw new ScenarioException(file + ":" + first.position().line() + ": "
+            throw new BadFileException(file + ":" + first.position().line() + ": "
                     + first.getMessage().replace('\n', ' '));
         }
         return new Section(file, parsed, "", 1, base);
     }
 
-    private static Scenario read(String file, Section root) throws ScenarioException {
+    private static Scenario read(String file, Section root) throws BadFileException {
         Section head = root.table("scenario");
         head.text("world", "");
         if (!head.says("title")) {
@@ -143,7 +146,7 @@
         return name.endsWith(".toml") ? name.substring(0, name.length() - 5) : name;
     }
 
-    private static long positive(Section s, String key, Long absent) throws ScenarioException {
+    private static long positive(Section s, String key, Long absent) throws BadFileException {
         long time = s.time(key, absent);
         if (time <= 0) {
             throw s.wrong(key, "must be more than nothing");
@@ -151,7 +154,7 @@
         return time;
     }
 
-    private static Discovery discovery(Section s) throws ScenarioException {
+    private static Discovery discovery(Section s) throws BadFileException {
         Discovery d = new Discovery(s.word("mode", Mode.ASK, Mode.class) == Mode.ASK,
                 s.times("notice", new Range(640_000, 4_200_000)),
                 s.times("silent-notice", new Range(6_200_000, 12_000_000)),
@@ -161,7 +164,7 @@
         return d;
     }
 
-    private static Proxies proxies(Section s) throws ScenarioException {
+    private static Proxies proxies(Section s) throws BadFileException {
         Proxies p = new Proxies(s.count("count", 5, 1), s.number("spread", 0.8, 0),
                 s.time("start-within", 1_000_000L), s.word("known", Known.CURRENT, Known.class),
                 s.time("known-age", 30_000_000L), s.count("ghosts", 0, 0), s.time("start", 2_000_000L),
@@ -174,7 +177,7 @@
         return p;
     }
 
-    private static Clients clients(Section s) throws ScenarioException {
+    private static Clients clients(Section s) throws BadFileException {
         Clients c = new Clients(s.count("retries", 1, 0), s.times("backoff", new Range(25_000, 200_000)),
                 s.flag("doubling", true), s.share("honour", 0.9, 1),
                 s.shares("patience", new Range(0.7, 1), 1), s.share("leave", 0.0, 1));
@@ -186,7 +189,7 @@
     }
 
     private static Load load(Section s, List<Servers> servers, List<ClassSpec> classes)
-            throws ScenarioException {
+            throws BadFileException {
         double full = Scenario.fullRate(servers, classes);
         boolean byShare = s.says("of-capacity") || !s.says("rate") && s.has("of-capacity");
         if (byShare && s.says("rate")) {
@@ -207,7 +210,7 @@
         return load;
     }
 
-    private static List<Servers> servers(Section root) throws ScenarioException {
+    private static List<Servers> servers(Section root) throws BadFileException {
         List<Servers> all = new ArrayList<>();
         Set<String> names = new HashSet<>();
         for (Section s : root.tables("servers")) {
@@ -250,7 +253,7 @@
         return all;
     }
 
-    private static List<ClassSpec> classes(Section root) throws ScenarioException {
+    private static List<ClassSpec> classes(Section root) throws BadFileException {
         List<ClassSpec> all = new ArrayList<>();
         Set<String> names = new HashSet<>();
         double sum = 0;
@@ -287,7 +290,7 @@
         return all;
     }
 
-    private static List<Tenant> tenants(Section root) throws ScenarioException {
+    private static List<Tenant> tenants(Section root) throws BadFileException {
         List<Tenant> all = new ArrayList<>();
         Set<String> names = new HashSet<>();
         double sum = 0;
@@ -305,7 +308,7 @@
     }
 
     /** The name of a table among those of its kind. */
-    private static String newName(Section s, Set<String> names, String kind) throws ScenarioException {
+    private static String newName(Section s, Set<String> names, String kind) throws BadFileException {
         String name = s.text("name", null);
         if (!names.add(name)) {
             throw s.wrong("name", "there is another " + kind + " called " + name);
@@ -322,7 +325,7 @@
         return BigDecimal.valueOf(Math.round(part * 1000), 1).stripTrailingZeros().toPlainString() + "%";
     }
 
-    private static Limits limits(Section s) throws ScenarioException {
+    private static Limits limits(Section s) throws BadFileException {
         Limits l = new Limits(s.count("attempts", 4, 1), s.flag("cancel", true), s.flag("probes", true),
                 s.time("retry-after", 2_000_000L), positive(s, "dial-timeout", 250_000L),
                 positive(s, "idle-close", 5_000_000L));
@@ -330,7 +333,7 @@
         return l;
     }
 
-    private static Rules rules(Section s) throws ScenarioException {
+    private static Rules rules(Section s) throws BadFileException {
         Rules r = new Rules(s.time("answer-slack", 70_000L), s.time("drain", 250_000L),
                 s.number("cold-multiple", 4.0, 1), positive(s, "cold-for", 3_000_000L),
                 s.share("cold-from", 0.13, 1), s.time("cold-warm", 24_000_000L),
@@ -342,7 +345,7 @@
         return r;
     }
 
-    private static Service service(Section s) throws ScenarioException {
+    private static Service service(Section s) throws BadFileException {
         Service v = new Service(s.share("whole", 0.4, 1), s.share("worst-window", 0.15, 1),
                 s.share("worst-class", 0.2, 1), s.share("worst-tenant", 0.25, 1),
                 positive(s, "window", 10_000_000L), s.share("price-waste", 0.05, 1),
--- a/src/main/java/mulleinfront/emulator/Script.java
+++ b/src/main/java/mulleinfront/emulator/Script.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import mulleinfront.Balancer.Availability;
 import mulleinfront.emulator.Scenario.Fault;
+import mulleinfront.settings.Range;
 
 /** Makes a scenario's faults happen. Whom a fault draws is settled when it begins, among those who are there. */
 final class Script {
@@ -118,7 +119,7 @@
             return;
         }
         life.neighbour(on ? f.share() : 0);
-        long lasts = (long) (on ? f.on() : f.off()).draw(h.chance);
+        long lasts = (long) (on ? f.on() : f.off()).draw(h.chance::between);
         long left = f.forUs() > 0 ? f.at() + f.forUs() - world.queue.now() : Long.MAX_VALUE;
         world.queue.after(Math.min(left, Math.max(1_000, lasts)), () -> neighbour(f, h, life, !on));
     }
--- a/src/main/java/mulleinfront/emulator/ServerModel.java
+++ b/src/main/java/mulleinfront/emulator/ServerModel.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import mulleinfront.core.Time;
+import mulleinfront.settings.Range;
 
 /**
  * One life of a factoring server's process, from its start to its end: a waiting room before some slots, whose
@@ -514,7 +515,7 @@
     private void schedulePause() {
         time.after((long) chance.exponential(machine.pauseEveryUs()), () -> {
             if (!stopped) {
-                pause((long) machine.pauseUs().draw(chance));
+                pause((long) machine.pauseUs().draw(chance::between));
                 schedulePause();
             }
         });
--- a/src/main/java/mulleinfront/emulator/Tally.java
+++ b/src/main/java/mulleinfront/emulator/Tally.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.Balancer.RequestClass;
+import mulleinfront.settings.Section;
 
 /** Counts what a service report needs, as it happens. */
 final class Tally {
--- a/src/main/java/mulleinfront/emulator/World.java
+++ b/src/main/java/mulleinfront/emulator/World.java
@@ -85,11 +85,11 @@
     /** A machine of a group, drawn under its name, with an address and no process yet. */
     Host add(String id, int zone, int kind, int cell, Scenario.Servers group) {
         Chance chance = chance("server " + id);
-        ServerModel.Machine machine = new ServerModel.Machine(group.cores(), group.speed().draw(chance),
-                group.slots(), group.room(), group.connections(), group.handshakeWork().draw(chance),
-                group.idleCloseUs(), group.errors(), (long) group.reportEvery().draw(chance),
-                group.probeWork(), group.probes(), group.deepProbes(), group.coldFrom().draw(chance),
-                (long) group.coldFor().draw(chance), group.coldWork(), group.pauseEveryUs(), group.pause(),
+        ServerModel.Machine machine = new ServerModel.Machine(group.cores(), group.speed().draw(chance::between),
+                group.slots(), group.room(), group.connections(), group.handshakeWork().draw(chance::between),
+                group.idleCloseUs(), group.errors(), (long) group.reportEvery().draw(chance::between),
+                group.probeWork(), group.probes(), group.deepProbes(), group.coldFrom().draw(chance::between),
+                (long) group.coldFor().draw(chance::between), group.coldWork(), group.pauseEveryUs(), group.pause(),
                 group.crowdAt(), group.crowdLoss(), group.linger(), group.stops(), group.dropsExpired(),
                 group.keyMemoryUs(), group.keySaving(), group.keysKept());
         Host host = new Host(id, zone, kind, cell, group.weight(), machine,
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -12,6 +12,7 @@
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -29,6 +30,7 @@
 import mulleinfront.core.Core;
 import mulleinfront.core.Time;
 import mulleinfront.core.Wire;
+import mulleinfront.settings.Config;
 
 /**
  * A client proxy on sockets: a {@link Core} whose time is an event loop's and whose wire are connections.
@@ -40,7 +42,9 @@
      * as many that have been accepted or closed but not counted yet. Of the rest clients have one half and
      * connections to hosts, of which a client's request has one at most, the other.
      */
-    private static final int OWN_SOCKETS = 48;
+    static final int OWN_SOCKETS = 48;
+    /** And for each further event loop: its selector and wake-up, listener, watch, and what is not counted yet. */
+    static final int LOOP_SOCKETS = 16;
     static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null);
 
     private final Config config;
@@ -53,6 +57,8 @@
     private final Core<Call, Upstream.Answer> core;
     private final Map<String, Integer> classes = new HashMap<>();
     private boolean rehearsing;
+    /** Whether others in this process listen on the same port. */
+    private boolean shared;
 
     private ClientProxy(Config config, EventLoopGroup group) {
         this.config = config;
@@ -136,6 +142,25 @@
         return start(config, Balancer::create);
     }
 
+    /**
+     * Starts one client proxy for each configuration, all on the address of the first, which share nothing but the
+     * port: the system gives each new connection to one of them. Each counts as an instance to its module.
+     */
+    public static List<ClientProxy> startAll(List<Config> configs) throws Exception {
+        Rehearsal.decide(configs.get(0).settings());
+        rehearse(configs.get(0));
+        List<ClientProxy> all = new ArrayList<>();
+        try {
+            for (Config config : configs) {
+                all.add(start(all.isEmpty() ? config : config.on(all.get(0).port()), Balancer::create, true));
+            }
+            return all;
+        } catch (Exception e) {
+            all.forEach(ClientProxy::drain);
+            throw e;
+        }
+    }
+
     /** Is its own host for a moment, and not ready; ends before the real one begins. */
     private static void rehearse(Config config) throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -155,9 +180,14 @@
     }
 
     static ClientProxy start(Config config, Core.Maker maker) throws Exception {
+        return start(config, maker, false);
+    }
+
+    private static ClientProxy start(Config config, Core.Maker maker, boolean shared) throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             ClientProxy proxy = new ClientProxy(config, group);
+            proxy.shared = shared;
             proxy.loop.submit(() -> proxy.begin(maker)).get();
             proxy.listen();
             System.err.println("mulleinfront: listening on "
@@ -170,7 +200,7 @@
     }
 
     private void listen() throws Exception {
-        ChannelFuture bound = loop.submit(() -> frontend.listen(config.listen())).get().await();
+        ChannelFuture bound = loop.submit(() -> frontend.listen(config.listen(), shared)).get().await();
         if (!bound.isSuccess()) {
             throw new IOException("can't listen on " + NetUtil.toSocketAddressString(config.listen()) + ": "
                     + bound.cause().getMessage());
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -34,6 +34,8 @@
 import mulleinfront.Balancer.Source;
 import mulleinfront.core.ListOrder;
 import mulleinfront.core.Wire;
+import mulleinfront.settings.Config;
+import mulleinfront.settings.Listing;
 
 /**
  * Discovery's watch, and the hosts as last listed. A watch that ends, falls silent or talks nonsense has
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -14,6 +14,7 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -28,6 +29,7 @@
 import io.netty.util.concurrent.Future;
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
@@ -79,8 +81,17 @@
         this.clients = new DefaultChannelGroup(loop);
     }
 
-    ChannelFuture listen(InetSocketAddress address) {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    /**
+     * Listens.
+     *
+     * @param shared whether others listen there too, each with its own part of the connections
+     */
+    ChannelFuture listen(InetSocketAddress address, boolean shared) {
+        ServerBootstrap server = new ServerBootstrap();
+        if (shared) {
+            server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
+        }
+        ChannelFuture bound = server.group(loop).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
@@ -94,7 +105,7 @@
                         admit(ch, client);
                     }
                 }).bind(address);
-        server = bound.channel();
+        this.server = bound.channel();
         loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return bound;
     }
--- a/src/main/java/mulleinfront/proxy/Rehearsal.java
+++ b/src/main/java/mulleinfront/proxy/Rehearsal.java
@@ -19,6 +19,7 @@
 import mulleinfront.Balancer.Request;
 import mulleinfront.Balancer.RequestClass;
 import mulleinfront.Balancer.Source;
+import mulleinfront.settings.Listing;
 
 /**
  * Runs the code of a request's way some hundred times before the first one comes: what the JVM has not yet
--- /dev/null
+++ b/src/main/java/mulleinfront/proxy/Serve.java
@@ -0,0 +1,98 @@
+package mulleinfront.proxy;
+
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.logging.Handler;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import mulleinfront.settings.Config;
+import mulleinfront.settings.Machine;
+import sun.misc.Signal;
+
+/** {@code serve} and {@code rehearse}: client proxies as a process, with its signals, log and end. */
+public final class Serve {
+    private Serve() { }
+
+    /**
+     * Returns once it serves. SIGTERM lets it finish what it has taken before the process ends; SIGHUP makes
+     * it read its configuration again, also one that comes before it is ready.
+     *
+     * @param machine the file that says what to use of a machine, or null: one event loop, as deployed
+     */
+    public static void serve(String machine) throws Exception {
+        logPlainly();
+        String file = System.getenv("NODE_CONFIG");
+        CompletableFuture<List<ClientProxy>> started = new CompletableFuture<>();
+        Signal.handle(new Signal("HUP"), hup -> started.thenAccept(proxies -> reload(proxies, file)));
+        Config config = Config.load(file);
+        List<ClientProxy> proxies = machine == null ? List.of(ClientProxy.start(config))
+                : start(config, Machine.load(Path.of(machine)));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            proxies.stream().map(ClientProxy::drain).toList().forEach(Future::awaitUninterruptibly);
+        }));
+        started.complete(proxies);
+    }
+
+    /** Starts the client proxies of a machine file; they listen on one port. */
+    public static List<ClientProxy> start(Config config, Machine machine) throws Exception {
+        return ClientProxy.startAll(machine.split(config, Runtime.getRuntime().maxMemory(),
+                ClientProxy.OWN_SOCKETS, ClientProxy.LOOP_SOCKETS));
+    }
+
+    /**
+     * Starts as a client proxy does, refuses one request for want of hosts and ends: while it does, the build
+     * lets the JVM note which classes a start needs, so that the deployed one has them at hand.
+     */
+    public static void rehearse() throws Exception {
+        logPlainly();
+        try (InputStream sample = Serve.class.getResourceAsStream("/rehearsal.json")) {
+            ClientProxy proxy = ClientProxy.start(Config.parse(sample.readAllBytes()));
+            try (Socket client = new Socket(InetAddress.getLoopbackAddress(), proxy.port())) {
+                client.getOutputStream().write(("GET /api HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n"
+                        + "X-Class: sample\r\nX-Deadline-Ms: 100\r\nConnection: close\r\n\r\n")
+                        .getBytes(StandardCharsets.US_ASCII));
+                client.getInputStream().readAllBytes();
+            }
+            proxy.drain().awaitUninterruptibly();
+        }
+    }
+
+    /** One at a time, since each signal has its own thread: the file as it is last must be taken last. */
+    private static synchronized void reload(List<ClientProxy> proxies, String file) {
+        try {
+            Config changed = Config.load(file);
+            proxies.forEach(proxy -> proxy.reload(changed));
+        } catch (IOException | RuntimeException e) {
+            System.err.println("mulleinfront: the configuration stays as it was: " + Config.plain(e));
+        }
+    }
+
+    /**
+     * What libraries have to say goes to standard error in plain lines. The platform's own form needs a file
+     * for the time zone: a warning that descriptors have run out would end the thread that gives it.
+     */
+    private static void logPlainly() {
+        LogManager.getLogManager().reset();
+        Logger.getLogger("").addHandler(new Handler() {
+            @Override
+            public void publish(LogRecord line) {
+                System.err.println("mulleinfront: " + line.getMessage()
+                        + (line.getThrown() == null ? "" : ": " + line.getThrown()));
+            }
+
+            @Override
+            public void flush() { }
+
+            @Override
+            public void close() { }
+        });
+    }
+}
--- a/src/main/java/mulleinfront/proxy/Config.java
+++ b/src/main/java/mulleinfront/settings/Config.java
@@ -1,6 +1,7 @@
-package mulleinfront.proxy;
+package mulleinfront.settings;
 
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -8,7 +9,6 @@
 import java.nio.file.Path;
 import java.util.List;
 import mulleinfront.Balancer.Settings;
-import mulleinfront.benchlink.SettingsReader;
 
 /**
  * What a client proxy is told at its start.
@@ -20,16 +20,19 @@
  * @param zones names of the zones, by number
  * @param kinds names of the kinds of machine, by number
  * @param tenants names of the tenants, by number
- * @param sockets descriptors that the process may hold
+ * @param limit descriptors that the platform allows the process
+ * @param sockets descriptors that this client proxy may hold
  * @param dialTimeoutUs time within which a connection must have come up
  * @param known the list of hosts as last held, perhaps old; null if there is none
  */
 public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, Settings settings,
-        List<String> zones, List<String> kinds, List<String> tenants, int sockets, long dialTimeoutUs,
+        List<String> zones, List<String> kinds, List<String> tenants, int limit, int sockets, long dialTimeoutUs,
         Listing known) {
 
-    /** What the program is sized for; a lower limit is kept, a higher one not used. */
+    /** What the program is sized for as deployed; a lower limit is kept, a higher one used only by {@link Machine}. */
     private static final int MOST_SOCKETS = 1024;
+    /** Seeds of loops differ by this, as those of {@link java.util.SplittableRandom} do. */
+    private static final long SEED_STEP = 0x9e3779b97f4a7c15L;
 
     /**
      * Reads the file that {@code NODE_CONFIG} names.
@@ -79,9 +82,25 @@
         need(seed, "seed");
         return new Config(listen, discovery, seed(seed), settings.toSettings(),
                 settings.names("azs"), settings.names("kinds"), settings.tenants(), sockets,
+                Math.min(MOST_SOCKETS, sockets),
                 settings.dialTimeoutUs(), known);
     }
 
+    /** The same on another port. */
+    public Config on(int port) {
+        return new Config(new InetSocketAddress(listen.getAddress(), port), discovery, seed, settings, zones, kinds,
+                tenants, limit, sockets, dialTimeoutUs, known);
+    }
+
+    /** One of several client proxies in a process, each an instance to the module. */
+    Config part(int number, int of, int itsSockets) {
+        Settings s = settings;
+        Settings shared = new Settings(s.classes(), s.tenantShares(), s.overShareWorth(), s.instances() * of,
+                s.probePrice(), s.subscribe(), s.weightsVary(), s.limits(), s.contract());
+        return new Config(listen, discovery, seed + number * SEED_STEP, shared, zones, kinds, tenants, limit,
+                itsSockets, dialTimeoutUs, known);
+    }
+
     private static int sockets(JsonParser in) throws IOException {
         if (in.currentToken() != JsonToken.START_OBJECT) {
             throw new IOException("configuration: limits must be an object");
@@ -91,7 +110,7 @@
             boolean named = in.currentName().equals("sockets");
             in.nextToken();
             if (named) {
-                sockets = Math.min(sockets, in.getIntValue());
+                sockets = in.getIntValue();
             } else {
                 in.skipChildren();
             }
@@ -107,6 +126,13 @@
         }
     }
 
+    /** One plain line that says what went wrong. */
+    public static String plain(Exception e) {
+        String text = e instanceof JsonProcessingException j ? "malformed input: " + j.getOriginalMessage()
+                : String.valueOf(e.getMessage());
+        return text.replace('\n', ' ');
+    }
+
     private static void need(Object value, String name) throws IOException {
         if (value == null) {
             throw new IOException("configuration: " + name + " is missing");
--- a/src/main/java/mulleinfront/proxy/Listing.java
+++ b/src/main/java/mulleinfront/settings/Listing.java
@@ -1,4 +1,4 @@
-package mulleinfront.proxy;
+package mulleinfront.settings;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
@@ -12,15 +12,15 @@
 import mulleinfront.Balancer.Availability;
 
 /** A list of hosts in discovery's form: the whole one or, with {@code full} false, what has changed. */
-record Listing(long version, boolean full, List<Entry> entries) {
-    static final JsonFactory JSON = new JsonFactory();
+public record Listing(long version, boolean full, List<Entry> entries) {
+    public static final JsonFactory JSON = new JsonFactory();
 
     /** One host, its zone and kind by name. */
-    record Entry(String id, InetSocketAddress address, String zone, String kind, int cell,
+    public record Entry(String id, InetSocketAddress address, String zone, String kind, int cell,
             Availability availability, double weight, long startedMs) {}
 
     /** Reads a line of a watch; anything but one well-formed list is an {@link IOException}. */
-    static Listing parse(byte[] line) throws IOException {
+    public static Listing parse(byte[] line) throws IOException {
         try (JsonParser in = JSON.createParser(line)) {
             in.nextToken();
             Listing listing = read(in);
@@ -30,7 +30,7 @@
     }
 
     /** Reads the object at the parser's place. */
-    static Listing read(JsonParser in) throws IOException {
+    public static Listing read(JsonParser in) throws IOException {
         need(in.currentToken() == JsonToken.START_OBJECT, "a list must be an object");
         long version = -1;
         boolean full = false;
@@ -99,7 +99,7 @@
     }
 
     /** Takes a literal address and port only: there is no DNS, and a look-up would block the loop. */
-    static InetSocketAddress address(String text) throws IOException {
+    public static InetSocketAddress address(String text) throws IOException {
         int colon = String.valueOf(text).lastIndexOf(':');
         byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
         need(ip != null, "not an address and port: " + text);
--- a/src/main/java/mulleinfront/emulator/Section.java
+++ b/src/main/java/mulleinfront/settings/Section.java
@@ -1,4 +1,4 @@
-package mulleinfront.emulator;
+package mulleinfront.settings;
 
 import java.math.BigDecimal;
 import java.util.ArrayList;
@@ -12,10 +12,10 @@
 import org.tomlj.TomlTable;
 
 /**
- * One table of a scenario file, read strictly: every value has its form and unit, ranges run upwards, and a key
+ * One table of a TOML file, read strictly: every value has its form and unit, ranges run upwards, and a key
  * that nobody asked for is an error. Whatever is wrong is said with file, line and reason.
  */
-final class Section {
+public final class Section {
     private static final Map<String, Long> UNITS = Map.of("us", 1L, "ms", 1_000L, "s", 1_000_000L,
             "m", 60_000_000L, "h", 3_600_000_000L);
 
@@ -23,11 +23,11 @@
     private final TomlTable table;
     private final String name;
     private final int line;
-    /** The same table of the world that this scenario stands on; null if it stands on none. */
+    /** The same table of the file that this one stands on; null if it stands on none. */
     private final Section base;
     private final Set<String> asked = new HashSet<>();
 
-    Section(String file, TomlTable table, String name, int line, Section base) {
+    public Section(String file, TomlTable table, String name, int line, Section base) {
         this.file = file;
         this.table = table;
         this.name = name;
@@ -35,21 +35,21 @@
         this.base = base;
     }
 
-    /** Whether the scenario itself says it, rather than the world that it stands on. */
-    boolean says(String key) {
+    /** Whether the file itself says it, rather than the one that it stands on. */
+    public boolean says(String key) {
         return table.contains(List.of(key));
     }
 
-    /** It may be there and does not count: the scenario says in another way what its world says by this. */
-    void pass(String key) {
+    /** It may be there and does not count: the file says in another way what the one under it says by this. */
+    public void pass(String key) {
         asked.add(key);
     }
 
-    boolean has(String key) {
+    public boolean has(String key) {
         return says(key) || base != null && base.has(key);
     }
 
-    Section table(String key) throws ScenarioException {
+    public Section table(String key) throws BadFileException {
         asked.add(key);
         Object value = table.get(List.of(key));
         Section under = base == null ? null : base.table(key);
@@ -63,7 +63,7 @@
     }
 
     /** An array of tables, {@code [[key]]}. */
-    List<Section> tables(String key) throws ScenarioException {
+    public List<Section> tables(String key) throws BadFileException {
         asked.add(key);
         Object value = table.get(List.of(key));
         List<Section> all = new ArrayList<>();
@@ -82,22 +82,22 @@
         return all;
     }
 
-    /** The same, but none of the world that the scenario stands on. */
-    List<Section> ownTables(String key) throws ScenarioException {
+    /** The same, but none of the file that this one stands on. */
+    public List<Section> ownTables(String key) throws BadFileException {
         asked.add(key);
         return says(key) ? tables(key) : List.of();
     }
 
-    ScenarioException wrong(String key, String reason) {
+    public BadFileException wrong(String key, String reason) {
         if (!says(key) && base != null && base.has(key)) {
             return base.wrong(key, reason);
         }
-        return new ScenarioException(file + ":" + at(key) + ": " + (name.isEmpty() ? "" : name + ".") + key
+        return new BadFileException(file + ":" + at(key) + ": " + (name.isEmpty() ? "" : name + ".") + key
                 + ": " + reason);
     }
 
-    ScenarioException wrong(String reason) {
-        return new ScenarioException(file + ":" + line + ": " + name + ": " + reason);
+    public BadFileException wrong(String reason) {
+        return new BadFileException(file + ":" + line + ": " + name + ": " + reason);
     }
 
     private int at(String key) {
@@ -106,7 +106,7 @@
     }
 
     /** To be called when all is read: whatever is left is a slip of the pen. */
-    void done() throws ScenarioException {
+    public void done() throws BadFileException {
         for (String key : table.keySet()) {
             if (!asked.contains(key)) {
                 throw wrong(key, "unknown key");
@@ -118,7 +118,7 @@
         }
     }
 
-    private Object get(String key, boolean needed) throws ScenarioException {
+    private Object get(String key, boolean needed) throws BadFileException {
         asked.add(key);
         Object value = table.get(List.of(key));
         if (value == null && base != null) {
@@ -130,7 +130,7 @@
         return value;
     }
 
-    String text(String key, String absent) throws ScenarioException {
+    public String text(String key, String absent) throws BadFileException {
         Object value = get(key, absent == null);
         if (value == null) {
             return absent;
@@ -141,7 +141,7 @@
         throw wrong(key, "must be a text");
     }
 
-    boolean flag(String key, boolean absent) throws ScenarioException {
+    public boolean flag(String key, boolean absent) throws BadFileException {
         Object value = get(key, false);
         if (value == null) {
             return absent;
@@ -153,7 +153,7 @@
     }
 
     /** One of some words. */
-    <E extends Enum<E>> E word(String key, E absent, Class<E> words) throws ScenarioException {
+    public <E extends Enum<E>> E word(String key, E absent, Class<E> words) throws BadFileException {
         String text = text(key, absent == null ? null : form(absent));
         for (E e : words.getEnumConstants()) {
             if (form(e).equals(text)) {
@@ -167,11 +167,11 @@
         throw wrong(key, "'" + text + "' is none of " + String.join(", ", known));
     }
 
-    static String form(Enum<?> word) {
+    public static String form(Enum<?> word) {
         return word.name().toLowerCase(java.util.Locale.ROOT).replace('_', '-');
     }
 
-    List<String> texts(String key) throws ScenarioException {
+    public List<String> texts(String key) throws BadFileException {
         Object value = get(key, false);
         List<String> all = new ArrayList<>();
         if (value == null) {
@@ -189,7 +189,7 @@
         return all;
     }
 
-    int count(String key, Integer absent, int least) throws ScenarioException {
+    public int count(String key, Integer absent, int least) throws BadFileException {
         Object value = get(key, absent == null);
         if (value == null) {
             return absent;
@@ -200,16 +200,16 @@
         throw wrong(key, "must be a whole number, " + least + " or more");
     }
 
-    double number(String key, Double absent, double least) throws ScenarioException {
+    public double number(String key, Double absent, double least) throws BadFileException {
         Object value = get(key, absent == null);
         return value == null ? absent : plain(key, value, least);
     }
 
-    Range numbers(String key, Range absent, double least) throws ScenarioException {
+    public Range numbers(String key, Range absent, double least) throws BadFileException {
         return range(key, absent, v -> plain(key, v, least));
     }
 
-    private double plain(String key, Object value, double least) throws ScenarioException {
+    private double plain(String key, Object value, double least) throws BadFileException {
         double d = value instanceof Long l ? l : value instanceof Double f ? f : Double.NaN;
         if (!(d >= least) || Double.isInfinite(d)) {
             throw wrong(key, "must be a plain number, " + BigDecimal.valueOf(least).stripTrailingZeros()
@@ -219,16 +219,16 @@
     }
 
     /** A time in microseconds: a number with its unit, as "250ms". */
-    long time(String key, Long absent) throws ScenarioException {
+    public long time(String key, Long absent) throws BadFileException {
         Object value = get(key, absent == null);
         return value == null ? absent : Math.round(time(key, value));
     }
 
-    Range times(String key, Range absent) throws ScenarioException {
+    public Range times(String key, Range absent) throws BadFileException {
         return range(key, absent, v -> time(key, v));
     }
 
-    private double time(String key, Object value) throws ScenarioException {
+    private double time(String key, Object value) throws BadFileException {
         String text = value instanceof String s ? s.strip() : String.valueOf(value);
         int unit = text.length();
         while (unit > 0 && Character.isLetter(text.charAt(unit - 1))) {
@@ -242,16 +242,16 @@
     }
 
     /** A part of 1: a percentage, as "17%". */
-    double share(String key, Double absent, double most) throws ScenarioException {
+    public double share(String key, Double absent, double most) throws BadFileException {
         Object value = get(key, absent == null);
         return value == null ? absent : share(key, value, most);
     }
 
-    Range shares(String key, Range absent, double most) throws ScenarioException {
+    public Range shares(String key, Range absent, double most) throws BadFileException {
         return range(key, absent, v -> share(key, v, most));
     }
 
-    private double share(String key, Object value, double most) throws ScenarioException {
+    private double share(String key, Object value, double most) throws BadFileException {
         String text = value instanceof String s ? s.strip() : String.valueOf(value);
         if (!text.endsWith("%")) {
             throw wrong(key, "'" + text + "' is no share: a percentage, as \"17%\"");
@@ -264,7 +264,7 @@
     }
 
     /** Requests a second, as "240/s". */
-    double rate(String key, Double absent) throws ScenarioException {
+    public double rate(String key, Double absent) throws BadFileException {
         Object value = get(key, absent == null);
         if (value == null) {
             return absent;
@@ -275,7 +275,7 @@
         throw wrong(key, "'" + value + "' is no rate: a number for each second, as \"240/s\"");
     }
 
-    private double digits(String key, String whole, String number) throws ScenarioException {
+    private double digits(String key, String whole, String number) throws BadFileException {
         try {
             double d = new BigDecimal(number.strip()).doubleValue();
             if (d >= 0 && d <= 1e12) {
@@ -288,10 +288,10 @@
     }
 
     private interface Reading {
-        double of(Object value) throws ScenarioException;
+        double of(Object value) throws BadFileException;
     }
 
-    private Range range(String key, Range absent, Reading reading) throws ScenarioException {
+    private Range range(String key, Range absent, Reading reading) throws BadFileException {
         Object value = get(key, absent == null);
         if (value == null) {
             return absent;
--- a/src/main/java/mulleinfront/benchlink/SettingsReader.java
+++ b/src/main/java/mulleinfront/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package mulleinfront.benchlink;
+package mulleinfront.settings;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -28,7 +28,7 @@
     /** Reads the object at the parser's place. */
     public static SettingsReader read(JsonParser in) throws IOException {
         if (in.currentToken() != JsonToken.START_OBJECT) {
-            throw new WireException("settings must be an object");
+            throw new IOException("malformed input: settings must be an object");
         }
         return new SettingsReader(object(in));
     }
--- a/src/test/java/mulleinfront/LayersTest.java
+++ b/src/test/java/mulleinfront/LayersTest.java
@@ -52,6 +52,22 @@
         withoutIo(JavaClass.Predicates.resideInAPackage("mulleinfront.core")).check(MAIN);
     }
 
+    @Test
+    void whatReadsSettingsKnowsNobodyThatIsSet() {
+        only("mulleinfront.settings", "mulleinfront.settings", "java..", "com.fasterxml.jackson.core..",
+                "org.tomlj..", "io.netty.util").check(MAIN);
+        noClasses().that().resideInAPackage("mulleinfront.proxy..").should().dependOnClassesThat()
+                .resideInAPackage("mulleinfront.benchlink..").check(MAIN);
+    }
+
+    @Test
+    void theEntryHoldsOnlyTheStart() {
+        classes().that().haveFullyQualifiedName("mulleinfront.Main").should().onlyDependOnClassesThat(
+                JavaClass.Predicates.resideInAnyPackage("java.lang..", "java.io", "mulleinfront.cli",
+                        "mulleinfront.benchlink", "mulleinfront.proxy", "mulleinfront.settings", "mulleinfront"))
+                .check(MAIN);
+    }
+
     @Test
     void theEmulatorStandsOnTheCoreAndNoWire() {
         noClasses().that().resideInAPackage("mulleinfront.emulator..").should().dependOnClassesThat()
--- a/src/test/java/mulleinfront/benchlink/AdapterTest.java
+++ b/src/test/java/mulleinfront/benchlink/AdapterTest.java
@@ -9,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import mulleinfront.settings.Config;
 import org.junit.jupiter.api.Test;
 
 /** Wire transcripts: what goes in, what must come out. */
@@ -90,8 +91,8 @@
             "{\"wallUs\":1,\"proxys\":[{\"in\":[]}]}\n", "{\"wallUs\":1,\"proxys\":[", batch(1, "{\"m\":null}"),
             batch(1, "{\"m\":\"CATALOG\",\"table\":99,\"rowsIn\":[]}"), batch(1, BOOT + ",{\"m\":\"ENDED\",\"outcome\":\"?\"}")}) {
             Exception e = assertThrows(IOException.class, () -> play(bad), bad);
-            assertFalse(Adapter.plain(e).contains("\n"));
-            assertTrue(Adapter.plain(e).startsWith("malformed input: "), Adapter.plain(e));
+            assertFalse(Config.plain(e).contains("\n"));
+            assertTrue(Config.plain(e).startsWith("malformed input: "), Config.plain(e));
         }
     }
 }
--- a/src/test/java/mulleinfront/emulator/ScenarioReaderTest.java
+++ b/src/test/java/mulleinfront/emulator/ScenarioReaderTest.java
@@ -10,6 +10,8 @@
 import java.util.TreeSet;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import mulleinfront.settings.BadFileException;
+import mulleinfront.settings.Section;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -17,7 +19,7 @@
 /** Scenario files are read whole or refused whole, with file, line and reason. */
 class ScenarioReaderTest {
     private static String refused(String lines) {
-        return assertThrows(ScenarioException.class, () -> Worlds.of(lines), lines).getMessage();
+        return assertThrows(BadFileException.class, () -> Worlds.of(lines), lines).getMessage();
     }
 
     /** The lines begin at line 4 of the file; {@code \n} in a case is a line's end. */
@@ -92,15 +94,15 @@
 
     @Test
     void whatIsWrongInTheWorldIsSaidWithItsFile() {
-        String wrong = assertThrows(ScenarioException.class, () -> ScenarioReader.read("a.toml",
+        String wrong = assertThrows(BadFileException.class, () -> ScenarioReader.read("a.toml",
                 "[scenario]\ntitle = \"t\"\nworld = \"b.toml\"\nlength = \"5s\"\n", world -> new String[] {world,
                     "[network]\nzones = [\"a\"]\n\nsame = 7\n"})).getMessage();
         assertTrue(wrong.startsWith("b.toml:4: network.same: '7' is no time"), wrong);
-        String unknown = assertThrows(ScenarioException.class, () -> ScenarioReader.read("a.toml",
+        String unknown = assertThrows(BadFileException.class, () -> ScenarioReader.read("a.toml",
                 "[scenario]\ntitle = \"t\"\nworld = \"b.toml\"\n", world -> new String[] {world,
                     Worlds.text("calm.toml") + "\n[extra]\n"})).getMessage();
         assertTrue(unknown.matches("b\\.toml:\\d+: extra: unknown key"), unknown);
-        String chain = assertThrows(ScenarioException.class, () -> ScenarioReader.read("a.toml",
+        String chain = assertThrows(BadFileException.class, () -> ScenarioReader.read("a.toml",
                 "[scenario]\ntitle = \"t\"\nworld = \"b.toml\"\n", world -> new String[] {world,
                     "[scenario]\nworld = \"c.toml\"\n"})).getMessage();
         assertEquals("a.toml:3: scenario.world: b.toml stands on another world itself", chain);
--- a/src/test/java/mulleinfront/emulator/ServerModelTest.java
+++ b/src/test/java/mulleinfront/emulator/ServerModelTest.java
@@ -11,6 +11,7 @@
 import mulleinfront.emulator.ServerModel.Job;
 import mulleinfront.emulator.ServerModel.Machine;
 import mulleinfront.emulator.ServerModel.Stops;
+import mulleinfront.settings.Range;
 import org.junit.jupiter.api.Test;
 
 /** The model of a server: against closed forms where there are any, and each trouble in its own figures. */
--- a/src/test/java/mulleinfront/emulator/Worlds.java
+++ b/src/test/java/mulleinfront/emulator/Worlds.java
@@ -6,6 +6,7 @@
 import java.util.stream.Stream;
 import mulleinfront.Balancer;
 import mulleinfront.core.Core;
+import mulleinfront.settings.BadFileException;
 
 /** Small worlds for tests, written as scenario files are. */
 final class Worlds {
@@ -20,16 +21,16 @@
     }
 
     /** A scenario on the world that is shipped: its lines follow {@code [scenario]} and a title. */
-    static Scenario of(String lines) throws ScenarioException {
+    static Scenario of(String lines) throws BadFileException {
         return ScenarioReader.read("scenarios/test.toml", "[scenario]\ntitle = \"a test\"\nworld = \"calm.toml\"\n"
                 + lines, world -> new String[] {world, text(world)});
     }
 
-    static String text(String world) throws ScenarioException {
+    static String text(String world) throws BadFileException {
         try {
             return Files.readString(SHIPPED.resolve(world));
         } catch (java.io.IOException e) {
-            throw new ScenarioException(e.toString());
+            throw new BadFileException(e.toString());
         }
     }
 
@@ -41,7 +42,7 @@
         return new World(scenario, seed, new Trace(null), maker, fitting);
     }
 
-    static World.Result play(String lines, long seed) throws ScenarioException {
+    static World.Result play(String lines, long seed) throws BadFileException {
         return world(of(lines), seed).play();
     }
 }
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -9,6 +9,7 @@
 import mulleinfront.proxy.Peers.Discovery;
 import mulleinfront.proxy.Peers.Seen;
 import mulleinfront.proxy.Peers.Server;
+import mulleinfront.settings.Config;
 import org.junit.jupiter.api.Test;
 
 /** Lists of hosts, watches that fail, and a move to another discovery. */
--- a/src/test/java/mulleinfront/proxy/ProxyRig.java
+++ b/src/test/java/mulleinfront/proxy/ProxyRig.java
@@ -20,6 +20,7 @@
 import mulleinfront.proxy.Peers.Discovery;
 import mulleinfront.proxy.Peers.Seen;
 import mulleinfront.proxy.Peers.Server;
+import mulleinfront.settings.Config;
 import org.junit.jupiter.api.AfterEach;
 
 /** The sockets under a module that does what the test says, so that each outcome can be seen by itself. */
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -25,6 +25,7 @@
 import mulleinfront.proxy.Peers.Message;
 import mulleinfront.proxy.Peers.Seen;
 import mulleinfront.proxy.Peers.Server;
+import mulleinfront.settings.Config;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -85,13 +86,14 @@
                 .filter(entry -> !entry.contains("slf4j")).collect(Collectors.joining(File.pathSeparator));
     }
 
-    private void launch(String config, ProcessBuilder.Redirect errors) throws IOException {
+    private void launch(String config, ProcessBuilder.Redirect errors, String... more) throws IOException {
         Path file = folder.resolve("config.json");
         Files.writeString(file, config);
-        ProcessBuilder builder = new ProcessBuilder(
+        List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-                "-cp", programsOwn(), "mulleinfront.Main", "serve")
-                .redirectError(errors);
+                "-cp", programsOwn(), "mulleinfront.Main", "serve"));
+        command.addAll(List.of(more));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectError(errors);
         builder.environment().put("NODE_CONFIG", file.toString());
         process = builder.start();
     }
@@ -211,6 +213,39 @@
         Thread.sleep(50);
     }
 
+    @Test
+    void severalLoopsShareThePortAndNothingElse() throws Exception {
+        Server host = host(s -> s.served("x"));
+        discovery = keep(new Discovery());
+        String known = Peers.list(1, true, Peers.host("s0", host.address(), "in_service"));
+        int port = freePort();
+        Path machine = folder.resolve("machine.toml");
+        Files.writeString(machine, "loops = 3\n");
+        launch(Peers.config(port, discovery.server.address(), "", known), ProcessBuilder.Redirect.INHERIT,
+                "--machine", machine.toString());
+        List<Seen> watches = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            watches.add(discovery.asked());
+        }
+        watches.forEach(watch -> Discovery.push(watch, known));
+        awaitReady(port);
+        // With 48 connections the chance that one loop has none is under one in a hundred million.
+        for (int i = 0; i < 48; i++) {
+            assertEquals(200, keep(new Client(port)).unsafe("a" + i, 20_000).read().status());
+        }
+        assertEquals(48, host.seen.size(), "each sent once");
+        // The drain reaches all of them: nothing new goes out on any.
+        String drained = Peers.list(2, true, Peers.host("s0", host.address(), "terminating"));
+        watches.forEach(watch -> Discovery.push(watch, drained));
+        Thread.sleep(300);
+        for (int i = 0; i < 24; i++) {
+            assertEquals(503, keep(new Client(port)).unsafe("b" + i, 300).read().status());
+        }
+        assertEquals(48, host.seen.size(), "nothing to a draining host");
+        process.destroy();
+        assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS), "all of them end");
+    }
+
     @Test
     void aBadConfigurationIsOnePlainLine() throws Exception {
         String good = Peers.config(1, "127.0.0.1:1", "", "null");
