--- a/src/main/java/mulleinfront/cli/Emulate.java
+++ b/src/main/java/mulleinfront/cli/Emulate.java
@@ -118,6 +118,10 @@
             worst.append(String.format(Locale.ROOT, " %d (%.4f)", p.seed(), p.service()));
         }
         out.printf(Locale.ROOT, "worst seeds:%s%n", worst);
+        out.printf(Locale.ROOT, "goodput: mean %.3f, least %.3f; servers that fell over: %d%n",
+                all.stream().mapToDouble(Sweep.Played::goodput).average().orElse(0),
+                all.stream().mapToDouble(Sweep.Played::goodput).min().orElse(0),
+                all.stream().mapToInt(Sweep.Played::fell).sum());
         List<Sweep.Played> broken = all.stream().filter(p -> p.breaches() > 0).toList();
         if (broken.isEmpty()) {
             out.println("rules: all four kept under every seed");
--- a/src/main/java/mulleinfront/emulator/ReportWriter.java
+++ b/src/main/java/mulleinfront/emulator/ReportWriter.java
@@ -23,6 +23,7 @@
         line(out, "service %.3f: whole %.3f, worst %.0f s %.3f, worst class %.3f, worst branch %.3f; prices%s",
                 s.service(), s.whole(), r.scenario().service().windowUs() / 1e6, s.worstWindow(), s.worstClass(),
                 s.worstTenant(), prices(s.prices()));
+        line(out, "goodput %.3f of what the servers can do", r.goodput());
         if (!s.faults().isEmpty()) {
             line(out, "");
             line(out, "what happened");
@@ -127,6 +128,7 @@
             out.writeNumberField("worst_window", s.worstWindow());
             out.writeNumberField("worst_class", s.worstClass());
             out.writeNumberField("worst_tenant", s.worstTenant());
+            out.writeNumberField("goodput", r.goodput());
             out.writeNumberField("requests", s.asks());
             out.writeObjectFieldStart("prices");
             for (Map.Entry<String, Double> e : s.prices().entrySet()) {
--- a/src/main/java/mulleinfront/emulator/Sweep.java
+++ b/src/main/java/mulleinfront/emulator/Sweep.java
@@ -19,9 +19,12 @@
     /**
      * What is kept of one world.
      *
+     * @param goodput see {@link World.Result#goodput}
+     * @param fell servers that fell over
      * @param breach its first broken rule in words, or null
      */
-    public record Played(long seed, double service, int breaches, String breach, String sha256) { }
+    public record Played(long seed, double service, double goodput, int fell, int breaches, String breach,
+            String sha256) { }
 
     /**
      * Plays seeds {@code from} to {@code to}, both included.
@@ -58,7 +61,7 @@
 
     private static Played play(Scenario scenario, long seed) {
         World.Result r = World.of(scenario, seed, null).play();
-        return new Played(seed, r.service().service(), r.breachCount(),
+        return new Played(seed, r.service().service(), r.goodput(), r.fell(), r.breachCount(),
                 r.breaches().isEmpty() ? null : r.breaches().get(0).toString(), r.sha256());
     }
 
--- a/src/main/java/mulleinfront/emulator/World.java
+++ b/src/main/java/mulleinfront/emulator/World.java
@@ -238,7 +238,8 @@
     Result finish() {
         audit.finish(queue.now());
         return new Result(scenario, seed, tally.report(this), audit.breaches(), audit.breachCount(),
-                trace.sha256(), trace.lines(), queue.ran());
+                trace.sha256(), trace.lines(), queue.ran(), hosts.stream().limit(scenario.fleet())
+                .mapToDouble(h -> h.machine.capacity()).sum());
     }
 
     /**
@@ -250,7 +251,23 @@
      * @param sha256 the digest of all decisions
      * @param decisions lines of the decision trace
      * @param events tasks that the world's queue ran
+     * @param capacity work that the servers of the start can do in a microsecond, warm and undisturbed
      */
     public record Result(Scenario scenario, long seed, ServiceReport service, List<Auditor.Breach> breaches,
-            int breachCount, String sha256, long decisions, long events) { }
+            int breachCount, String sha256, long decisions, long events, double capacity) {
+
+        /** Work of the answers that clients were given, as a part of all that the servers can do warm and undisturbed. */
+        public double goodput() {
+            double work = 0;
+            for (int i = 0; i < scenario.classes().size(); i++) {
+                work += service.classes().get(i).served() * scenario.classes().get(i).workUs();
+            }
+            return work / (capacity * scenario.lengthUs());
+        }
+
+        /** Servers that fell over. */
+        public int fell() {
+            return (int) service.servers().stream().filter(s -> s.figures().fell).count();
+        }
+    }
 }
