--- a/src/main/java/mulleinfront/cli/Kit.java
+++ b/src/main/java/mulleinfront/cli/Kit.java
@@ -4,8 +4,16 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import mulleinfront.emulator.Scenario;
 import mulleinfront.emulator.ScenarioReader;
@@ -30,6 +38,8 @@
     static final int WRONG_VERSION = 4;
     /** The machine was too busy to say anything. */
     static final int TOO_BUSY = 5;
+    /** After Ctrl-C the client proxies end and what was seen is reported; longer than this nobody waits. */
+    private static final int MOST_WAIT_S = 30;
 
     @Spec
     private CommandSpec spec;
@@ -69,11 +79,11 @@
             if (anyVersion) {
                 run.anyVersion();
             }
-            Thread here = Thread.currentThread();
+            CountDownLatch reported = new CountDownLatch(1);
             Thread hook = new Thread(() -> {
                 run.interrupt();
                 try {
-                    here.join(30_000);
+                    reported.await(MOST_WAIT_S, TimeUnit.SECONDS);
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
@@ -84,13 +94,16 @@
             Rehearsal both = new Rehearsal(on.sockets(), virtual, on.failures(), on.quarters(), on.lateMs(),
                     on.daemonVersion(), on.kitVersion(), on.folder());
             String text = Report.text(both, anyVersion);
-            out.print(text);
-            out.flush();
+            synchronized (out) {
+                out.print(text);
+                out.flush();
+            }
             try {
                 Files.writeString(folder.resolve("report.txt"), text);
             } catch (IOException e) {
                 err.println("mulleinfront: the report can't be written (" + e.getMessage() + "); it is above");
             }
+            reported.countDown();
             try {
                 Runtime.getRuntime().removeShutdownHook(hook);
             } catch (IllegalStateException e) {
@@ -148,18 +161,46 @@
         @Parameters(paramLabel = "DIR", defaultValue = "scenarios", description = "default ${DEFAULT-VALUE}")
         private Path folder;
 
+        @Option(names = "--jobs", paramLabel = "N", description = "rehearsals at once, each of which wants four cores"
+                + " (default: what this machine has, here ${DEFAULT-VALUE})")
+        private int jobs = Math.max(1, Runtime.getRuntime().availableProcessors() / 4);
+
         @Override
         public Integer call() throws BadFileException, IOException, InterruptedException {
-            int worst = 0;
-            StringBuilder summary = new StringBuilder();
+            List<Scenario> all = new ArrayList<>();
             for (Path file : scenarios(folder)) {
-                int code = play(ScenarioReader.read(file));
+                all.add(ScenarioReader.read(file));
+            }
+            ExecutorService pool = Executors.newFixedThreadPool(Math.max(1, jobs));
+            try {
+                List<Future<Integer>> codes = new ArrayList<>();
+                all.forEach(s -> codes.add(pool.submit(() -> play(s))));
+                return summary(all, codes);
+            } finally {
+                pool.shutdownNow();
+            }
+        }
+
+        private int summary(List<Scenario> all, List<Future<Integer>> codes) throws InterruptedException {
+            PrintWriter out = spec.commandLine().getOut();
+            int worst = 0;
+            StringBuilder lines = new StringBuilder("\n");
+            for (int i = 0; i < codes.size(); i++) {
+                int code = CommandLine.FAILED;
+                String word;
+                try {
+                    code = codes.get(i).get();
+                    word = code == 0 ? "kept" : "exit code " + code;
+                } catch (ExecutionException e) {
+                    // One that can't be played is said and counts; the others go on.
+                    code = e.getCause() instanceof BadFileException ? CommandLine.BAD_INPUT : CommandLine.FAILED;
+                    word = e.getCause().getMessage();
+                }
                 worst = Math.max(worst, code);
-                summary.append(String.format(java.util.Locale.ROOT, "%-24s %s%n", file.getFileName(),
-                        code == 0 ? "kept" : "exit code " + code));
+                lines.append(String.format(Locale.ROOT, "%-20s %s%n", all.get(i).name(), word));
             }
-            spec.commandLine().getOut().print(summary);
-            spec.commandLine().getOut().flush();
+            out.print(lines);
+            out.flush();
             return worst;
         }
     }
--- a/src/main/java/mulleinfront/emulator/Auditor.java
+++ b/src/main/java/mulleinfront/emulator/Auditor.java
@@ -35,6 +35,7 @@
     private final Map<String, Cold> cold = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private int breachCount;
+    private long leaveSlackUs;
 
     /** The four rules, by the names that the operators use. */
     public enum Rule {
@@ -80,6 +81,7 @@
         final long deadlineAt;
         final List<Sent> attempts = new ArrayList<>(1);
         boolean ended;
+        long endedAt;
         int ran;
 
         Taken(String id, int proxy, RequestClass type, long deadlineAt) {
@@ -174,6 +176,11 @@
         }
     }
 
+    /** How long a client proxy may take to learn that a client has gone: on sockets the word crosses what it sends. */
+    void leaveSlack(long us) {
+        leaveSlackUs = us;
+    }
+
     /** It was not taken after all: its connection closed before anybody read it. */
     void untaken(String id) {
         Taken t = requests.remove(id);
@@ -199,6 +206,7 @@
             breach(Rule.LOST, now, proxy, id, "answered twice (" + how + ")");
         } else {
             t.ended = true;
+            t.endedAt = now;
             if (now > t.deadlineAt + scenario.rules().answerSlackUs()) {
                 breach(Rule.LOST, now, proxy, id, how + " " + (now - t.deadlineAt) + " us after its deadline");
             }
@@ -239,6 +247,7 @@
         Taken t = requests.get(id);
         if (t != null && !t.ended) {
             t.ended = true;
+            t.endedAt = now + leaveSlackUs;
             if (now > t.deadlineAt + scenario.rules().answerSlackUs() - 1) {
                 breach(Rule.LOST, now, proxy, id, "not answered in its client's time");
             }
@@ -255,7 +264,7 @@
             breach(Rule.LOST, now, proxy, id, "sent though nobody asked for it");
             return;
         }
-        if (t.ended) {
+        if (t.ended && now >= t.endedAt) {
             breach(Rule.LOST, now, proxy, id, "sent to " + host + " after its end");
         }
         Sent bond = null;
--- a/src/main/java/mulleinfront/emulator/Stage.java
+++ b/src/main/java/mulleinfront/emulator/Stage.java
@@ -70,6 +70,8 @@
     private final World world;
     private final Outside outside;
     private final Map<String, Sent> tries = new HashMap<>();
+    /** Client proxies that began with a list of no version that discovery still knows. */
+    private final boolean[] ancient;
 
     /** A try and the attempts at it that have come to servers. */
     private static final class Sent {
@@ -91,8 +93,10 @@
      */
     public Stage(Scenario scenario, long seed, long slackUs, Outside outside) {
         this.outside = outside;
+        this.ancient = new boolean[scenario.proxies().count()];
         this.world = new World(scenario.withSlack(slackUs), seed, new Trace(null), Balancer::create, Fitting.PLAIN,
                 this);
+        this.world.audit.leaveSlack(slackUs);
     }
 
     // ---- time ----------------------------------------------------------------------------------------
@@ -125,7 +129,10 @@
         world.audit.proxyStarted(proxy, world.queue.now());
         world.audit.told(proxy, known.version(), Source.CACHED, known.entries(), world.queue.now());
         world.proxies.get(proxy).starts++;
-        return told(known);
+        // A list so old that discovery no longer tells of changes since has no version that it knows.
+        ancient[proxy] = known.version() < 0;
+        Told told = told(known);
+        return ancient[proxy] ? new Told(0, told.full(), told.servers()) : told;
     }
 
     private static Told told(Registry.News news) {
@@ -547,7 +554,7 @@
      * @param after the version that it holds; -1: none
      */
     public Watch watch(int proxy, long after, Lines lines) {
-        Watch watch = new Watch(proxy, after, lines);
+        Watch watch = new Watch(proxy, ancient[proxy] && after == 0 ? -1 : after, lines);
         world.audit.asked(proxy, world.queue.now());
         world.registry.call(watch);
         return watch;
--- a/src/main/java/mulleinfront/kit/DaemonProcess.java
+++ b/src/main/java/mulleinfront/kit/DaemonProcess.java
@@ -49,7 +49,7 @@
         this.address = address;
         Path file = Files.writeString(folder.resolve("daemon-" + number + ".json"), config);
         this.log = folder.resolve("daemon-" + number + ".log");
-        String guarded = "exec 3<&0; (cat <&3 >/dev/null; kill -9 $$ 2>/dev/null) & ulimit -n " + SOCKETS
+        String guarded = "trap '' INT; exec 3<&0; (cat <&3 >/dev/null; kill -9 $$ 2>/dev/null) & ulimit -n " + SOCKETS
                 + "; exec 3<&- </dev/null; " + command;
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", guarded).directory(root.toFile())
                 .redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
--- a/src/main/java/mulleinfront/kit/RealRun.java
+++ b/src/main/java/mulleinfront/kit/RealRun.java
@@ -121,8 +121,6 @@
     public Rehearsal play() throws IOException, InterruptedException {
         String version = Version.OWN;
         World.Result result = null;
-        Thread reaper = new Thread(this::killAll);
-        Runtime.getRuntime().addShutdownHook(reaper);
         try {
             version = begin();
             if (failures.isEmpty() && version.equals(Version.OWN) || failures.isEmpty() && anyVersion) {
@@ -152,11 +150,6 @@
                 return null;
             });
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
-            try {
-                Runtime.getRuntime().removeShutdownHook(reaper);
-            } catch (IllegalStateException e) {
-                // It is on its way down already.
-            }
         }
         List<Rehearsal.Quarter> quarters = quarters();
         leaks(quarters);
--- a/src/test/java/mulleinfront/emulator/LargeFleetTest.java
+++ b/src/test/java/mulleinfront/emulator/LargeFleetTest.java
@@ -75,4 +75,88 @@
         long calls = result.service().counts().get("discovery calls");
         assertTrue(calls < 8_000, calls + " calls by 1,000 instances: one at the start, some in ten seconds of outage");
     }
+
+    @Test
+    void hostsOfATenthOfAMillisecondAndOfAHundredServeInOneFleet() throws Exception {
+        World.Result result = Worlds.world(Worlds.of("""
+                length = "20s"
+                [load]
+                rate = "400/s"
+                keys = 0
+                [[servers]]
+                name = "quick"
+                count = 6
+                cores = 2
+                speed = 900
+                queue-per-core = 22
+                connections-per-core = 400
+                [[servers]]
+                name = "slow"
+                count = 6
+                cores = 8
+                speed = 0.9
+                queue-per-core = 22
+                connections-per-core = 400
+                """), 1).play();
+        assertEquals(List.of(), result.breaches());
+        assertTrue(result.service().whole() > 0.95, "whole " + result.service().whole());
+        for (Server s : result.service().servers()) {
+            assertTrue(s.figures().served > 0, s.name() + " was left out");
+            assertTrue(!s.figures().fell, s.name() + " fell over");
+        }
+    }
+
+    @Test
+    void aHostThatPausesNowAndThenIsNotTakenForAFailedOne() throws Exception {
+        World.Result result = Worlds.world(Worlds.of("""
+                length = "30s"
+                [load]
+                rate = "120/s"
+                keys = 0
+                [[servers]]
+                name = "pausing"
+                count = 8
+                cores = 2
+                speed = 1.5
+                queue-per-core = 22
+                connections-per-core = 400
+                pause-every = "2s"
+                pause-for = "170ms"
+                """), 1).play();
+        assertEquals(List.of(), result.breaches());
+        assertTrue(result.service().whole() > 0.97, "whole " + result.service().whole());
+        long most = result.service().servers().stream().mapToLong(s -> s.figures().served).max().orElseThrow();
+        for (Server s : result.service().servers()) {
+            assertTrue(s.figures().served > most / 4, s.name() + " served " + s.figures().served + " of " + most);
+        }
+    }
+
+    @Test
+    void anInstanceThatWakesAfterAnHourServesAtOnceAndByTheListAsItIsNow() throws Exception {
+        World world = Worlds.world(Worlds.of("""
+                length = "61m"
+                [proxies]
+                count = 20
+                [load]
+                rate = "0/s"
+                [[fault]]
+                do = "deploy"
+                at = "30m"
+                for = "20s"
+                part = "50%"
+                batch = "50%"
+                drain = "2s"
+                [[fault]]
+                do = "burst"
+                at = "60m"
+                requests = 40
+                """), 1);
+        world.playUntil(3_630_000_000L);
+        World.Result result = world.finish();
+        assertEquals(List.of(), result.breaches());
+        assertEquals(40, result.service().asks());
+        assertTrue(result.service().whole() > 0.9, "whole " + result.service().whole());
+        long calls = result.service().counts().get("discovery calls");
+        assertTrue(calls <= 20, calls + " calls of discovery by 20 instances that watched all the time");
+    }
 }
--- a/src/test/java/mulleinfront/kit/RealRunTest.java
+++ b/src/test/java/mulleinfront/kit/RealRunTest.java
@@ -57,6 +57,9 @@
                 length = "9s"
                 [proxies]
                 count = 2
+                known = "stale"
+                known-age = "30s"
+                ghosts = 2
                 [load]
                 rate = "60/s"
                 [[fault]]
