--- a/src/main/java/mulleinfront/cli/Kit.java
+++ b/src/main/java/mulleinfront/cli/Kit.java
@@ -1,6 +1,7 @@
 package mulleinfront.cli;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -98,8 +99,11 @@
                 out.print(text);
                 out.flush();
             }
-            try {
+            try (OutputStream json = Files.newOutputStream(folder.resolve("report.json"));
+                    OutputStream junit = Files.newOutputStream(folder.resolve("junit.xml"))) {
                 Files.writeString(folder.resolve("report.txt"), text);
+                Report.json(both, anyVersion, json);
+                Report.junit(scenario.name(), both, anyVersion, junit);
             } catch (IOException e) {
                 err.println("mulleinfront: the report can't be written (" + e.getMessage() + "); it is above");
             }
--- a/src/main/java/mulleinfront/kit/Report.java
+++ b/src/main/java/mulleinfront/kit/Report.java
@@ -1,9 +1,19 @@
 package mulleinfront.kit;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import javax.xml.stream.XMLOutputFactory;
+import javax.xml.stream.XMLStreamException;
+import javax.xml.stream.XMLStreamWriter;
+import mulleinfront.emulator.Auditor;
 import mulleinfront.emulator.ReportWriter;
 
-/** A rehearsal as a page of text. */
+/** A rehearsal as a page of text, as JSON with the same figures, and as JUnit's XML for whoever collects tests. */
 public final class Report {
     private Report() { }
 
@@ -33,6 +43,87 @@
         return out.toString();
     }
 
+    /** One object; {@code sockets} is the emulator's report, absent if nothing was played. */
+    public static void json(Rehearsal r, boolean anyVersion, OutputStream to) throws IOException {
+        try (JsonGenerator out = new JsonFactory().createGenerator(to).useDefaultPrettyPrinter()) {
+            out.writeStartObject();
+            out.writeStringField("verdict", r.verdict(anyVersion).name().toLowerCase(Locale.ROOT).replace('_', '-'));
+            out.writeStringField("daemon_version", r.daemonVersion());
+            out.writeStringField("kit_version", r.kitVersion());
+            out.writeArrayFieldStart("failures");
+            for (String failure : r.failures()) {
+                out.writeString(failure);
+            }
+            out.writeEndArray();
+            out.writeArrayFieldStart("quarters");
+            for (Rehearsal.Quarter q : r.quarters()) {
+                out.writeStartObject();
+                out.writeNumberField("descriptors", q.descriptors());
+                out.writeNumberField("resident_kb", q.residentKb());
+                out.writeNumberField("cpu_part", q.cpuPart());
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+            out.writeObjectFieldStart("late_ms");
+            out.writeNumberField("p50", r.lateMs()[0]);
+            out.writeNumberField("p99", r.lateMs()[1]);
+            out.writeNumberField("worst", r.lateMs()[2]);
+            out.writeEndObject();
+            if (r.virtual() != null) {
+                out.writeNumberField("virtual_service", r.virtual().service().service());
+            }
+            if (r.sockets() != null) {
+                ByteArrayOutputStream day = new ByteArrayOutputStream();
+                ReportWriter.json(r.sockets(), day);
+                out.writeFieldName("sockets");
+                out.writeRawValue(day.toString(StandardCharsets.UTF_8));
+            }
+            out.writeEndObject();
+        }
+    }
+
+    /** A case for each rule, one for the processes and one for whether the run says anything. */
+    public static void junit(String name, Rehearsal r, boolean anyVersion, OutputStream to) throws IOException {
+        Rehearsal.Verdict verdict = r.verdict(anyVersion);
+        boolean judged = r.sockets() != null && verdict != Rehearsal.Verdict.TOO_BUSY
+                && verdict != Rehearsal.Verdict.WRONG_VERSION;
+        try {
+            XMLStreamWriter out = XMLOutputFactory.newInstance().createXMLStreamWriter(to, "UTF-8");
+            out.writeStartDocument("UTF-8", "1.0");
+            out.writeStartElement("testsuite");
+            out.writeAttribute("name", "rehearsal " + name);
+            for (Auditor.Rule rule : Auditor.Rule.values()) {
+                String first = r.sockets() == null ? null : r.sockets().breaches().stream()
+                        .filter(b -> b.rule() == rule).map(Object::toString).findFirst().orElse(null);
+                one(out, name, rule.words(), first, judged || first != null);
+            }
+            one(out, name, "client proxies start, stay and end", r.failures().isEmpty() ? null
+                    : String.join("; ", r.failures()), true);
+            one(out, name, "the run says something", judged || verdict == Rehearsal.Verdict.FAILED ? null
+                    : words(r, anyVersion), true);
+            out.writeEndElement();
+            out.writeEndDocument();
+            out.close();
+        } catch (XMLStreamException e) {
+            throw new IOException(e);
+        }
+    }
+
+    private static void one(XMLStreamWriter out, String suite, String name, String failure, boolean judged)
+            throws XMLStreamException {
+        out.writeStartElement("testcase");
+        out.writeAttribute("classname", suite);
+        out.writeAttribute("name", name);
+        if (failure != null) {
+            out.writeStartElement("failure");
+            out.writeAttribute("message", failure);
+            out.writeEndElement();
+        } else if (!judged) {
+            out.writeEmptyElement("skipped");
+        }
+        out.writeEndElement();
+    }
+
     private static String words(Rehearsal r, boolean anyVersion) {
         return switch (r.verdict(anyVersion)) {
             case KEPT -> "all four rules kept";
--- a/src/test/java/mulleinfront/kit/RealRunTest.java
+++ b/src/test/java/mulleinfront/kit/RealRunTest.java
@@ -6,8 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import mulleinfront.emulator.Auditor.Rule;
@@ -150,6 +156,21 @@
         }
         assertTrue(r.sockets().breaches().stream().anyMatch(b -> b.rule() == rule && b.what().contains(words)),
                 fault + ": " + r.sockets().breaches());
+        ByteArrayOutputStream xml = new ByteArrayOutputStream();
+        Report.junit("day", r, false, xml);
+        assertEquals(1, xml.toString(StandardCharsets.UTF_8).split("<failure", -1).length - 1, xml.toString());
+        ByteArrayOutputStream json = new ByteArrayOutputStream();
+        Report.json(r, false, json);
+        List<String> names = new ArrayList<>();
+        try (JsonParser in = new JsonFactory().createParser(json.toByteArray())) {
+            for (JsonToken t; (t = in.nextToken()) != null;) {
+                if (t == JsonToken.FIELD_NAME && in.getParsingContext().getParent().inRoot()) {
+                    names.add(in.currentName());
+                }
+            }
+        }
+        assertEquals(List.of("verdict", "daemon_version", "kit_version", "failures", "quarters", "late_ms", "sockets"),
+                names);
         assertTrue(r.sockets().breaches().stream().allMatch(b -> b.rule() == rule), fault + ": "
                 + r.sockets().breaches());
     }
@@ -226,6 +247,10 @@
         Rehearsal not = run(command, lines).play();
         assertNull(not.sockets());
         assertEquals(Rehearsal.Verdict.WRONG_VERSION, not.verdict(false));
+        ByteArrayOutputStream xml = new ByteArrayOutputStream();
+        Report.junit("day", not, false, xml);
+        assertEquals(4, xml.toString(StandardCharsets.UTF_8).split("<skipped", -1).length - 1, "no rule is judged");
+        assertTrue(xml.toString(StandardCharsets.UTF_8).contains("name=\"the run says something\"><failure"));
         String text = Report.text(not, false);
         assertTrue(text.contains("the daemon says 9.9.9, this kit is " + not.kitVersion()), text);
         assertTrue(text.contains("--any-version"), text);
