Copies in the new code go: one TOML reading, one wait for ready, one fill of the ring

Said twice, now once: parsing a TOML file with its first error's line (scenarios, machine file: Section.root), module actions that go nowhere (Rehearsal, Decisions: core.Silent), cutting sorted points into arcs (Ring), the wait for a client proxy to be ready (RealRun), a scenario with some parts changed, the zone of a client proxy, the trips of a handshake. Gone: a start that the stage's outside never had to make, the report's unused folder, the ring's second list of who joins, ClientProxy's shared as state. One defect on the way: when a run failed its processes were looked up off the event loop while the clock went on; now the clock stops and they are listed on the loop.

--- a/src/main/java/mulleinfront/Ring.java
+++ b/src/main/java/mulleinfront/Ring.java
@@ -3,7 +3,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.BitSet;
-import java.util.IdentityHashMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -12,7 +13,7 @@
  * owner that comes or goes touches only the arcs where its points lie, and a search is a step to the arc and a
  * bisection in it. A point's low 16 bits name the slot of its owner, so nothing is boxed.
  *
- * @param <T> the owners, told apart by identity
+ * @param <T> the owners, told apart by {@code equals}
  */
 final class Ring<T> {
     private static final int SLOT_BITS = 0xffff;
@@ -25,10 +26,10 @@
     private int points;
     /** Owners by slot; null where the owner has left. */
     private final List<T> slots = new ArrayList<>();
-    private final Map<T, Integer> slotOf = new IdentityHashMap<>();
+    private final Map<T, Integer> slotOf = new HashMap<>();
     private final BitSet taken = new BitSet();
-    private final Map<T, long[]> joining = new IdentityHashMap<>();
-    private final List<T> joiningOrder = new ArrayList<>();
+    /** Owners that join at the next {@link #merge} and their hashes, in the order in which they were added. */
+    private final Map<T, long[]> joining = new LinkedHashMap<>();
     private final List<long[]> leaving = new ArrayList<>();
     /** Place of the walk: arc and point in it. */
     private int arc;
@@ -37,13 +38,11 @@
     /** Adds an owner; its points count after the next {@link #merge}. */
     void add(T owner, long[] hashes) {
         joining.put(owner, hashes);
-        joiningOrder.add(owner);
     }
 
     /** Removes an owner, given the hashes it was added with; until {@link #merge} no walk may be made. */
     void remove(T owner, long[] hashes) {
         if (joining.remove(owner) != null) {
-            joiningOrder.remove(owner);
             return;
         }
         int slot = slotOf.remove(owner);
@@ -71,30 +70,34 @@
         cut(points + count);
         long[] fresh = new long[count];
         int filled = 0;
-        for (T owner : joiningOrder) {
+        for (Map.Entry<T, long[]> e : joining.entrySet()) {
             int slot = taken.nextClearBit(0);
             taken.set(slot);
             if (slot == slots.size()) {
                 slots.add(null);
             }
-            slots.set(slot, owner);
-            slotOf.put(owner, slot);
-            for (long hash : joining.get(owner)) {
+            slots.set(slot, e.getKey());
+            slotOf.put(e.getKey(), slot);
+            for (long hash : e.getValue()) {
                 fresh[filled++] = hash & ~SLOT_BITS | slot;
             }
         }
         joining.clear();
-        joiningOrder.clear();
         Arrays.sort(fresh);
-        for (int from = 0, to; from < count; from = to) {
-            int at = arcOf(fresh[from]);
+        spread(fresh);
+        points += count;
+    }
+
+    /** Puts sorted points into the arcs that they lie in. */
+    private void spread(long[] sorted) {
+        for (int from = 0, to; from < sorted.length; from = to) {
+            int at = arcOf(sorted[from]);
             to = from + 1;
-            while (to < count && arcOf(fresh[to]) == at) {
+            while (to < sorted.length && arcOf(sorted[to]) == at) {
                 to++;
             }
-            arcs[at] = merged(arcs[at], fresh, from, to);
+            arcs[at] = merged(arcs[at], sorted, from, to);
         }
-        points += count;
     }
 
     /** An arc's points without those whose owner has left; the same array if all are there. */
@@ -135,13 +138,7 @@
         long[] all = Arrays.stream(arcs).flatMapToLong(Arrays::stream).toArray();
         arcs = new long[wanted][];
         Arrays.fill(arcs, NONE);
-        for (int from = 0, to; from < all.length; from = to) {
-            int at = arcOf(all[from]);
-            for (to = from + 1; to < all.length && arcOf(all[to]) == at;) {
-                to++;
-            }
-            arcs[at] = Arrays.copyOfRange(all, from, to);
-        }
+        spread(all);
     }
 
     /** Points are ordered as signed numbers, so the first arc begins at the least of these. */
--- a/src/main/java/mulleinfront/bench/Decisions.java
+++ b/src/main/java/mulleinfront/bench/Decisions.java
@@ -19,6 +19,7 @@
 import mulleinfront.Balancer.RequestClass;
 import mulleinfront.Balancer.Settings;
 import mulleinfront.Balancer.Source;
+import mulleinfront.core.Silent;
 
 /** What the decision module costs by itself as hosts become more: a request, a host gone and back, a whole list. */
 public final class Decisions {
@@ -69,7 +70,7 @@
     }
 
     /** A module and whoever carries out what it decides: each attempt is answered after some others. */
-    private static final class Driver implements Balancer.Actions {
+    private static final class Driver extends Silent {
         private final ArrayDeque<AttemptEnd> out = new ArrayDeque<>();
         private final List<Endpoint> list = new ArrayList<>();
         private final Balancer module;
@@ -128,23 +129,5 @@
         public void send(String requestId, String endpointId, long timeoutUs) {
             out.add(new AttemptEnd(requestId, 0, Outcome.OK, true, ANSWER_US));
         }
-
-        @Override
-        public void refuse(String requestId, long retryAfterUs) { }
-
-        @Override
-        public void fail(String requestId) { }
-
-        @Override
-        public void cancel(String requestId, int attempt) { }
-
-        @Override
-        public void probe(String endpointId) { }
-
-        @Override
-        public void subscribe() { }
-
-        @Override
-        public void wakeAt(long atUs) { }
     }
 }
--- a/src/main/java/mulleinfront/cli/Kit.java
+++ b/src/main/java/mulleinfront/cli/Kit.java
@@ -91,9 +91,7 @@
             });
             Runtime.getRuntime().addShutdownHook(hook);
             Rehearsal on = run.play();
-            World.Result virtual = on.sockets() == null ? null : World.of(scenario, seed, null).play();
-            Rehearsal both = new Rehearsal(on.sockets(), virtual, on.failures(), on.quarters(), on.lateMs(),
-                    on.daemonVersion(), on.kitVersion(), on.folder());
+            Rehearsal both = on.sockets() == null ? on : on.beside(World.of(scenario, seed, null).play());
             String text = Report.text(both, anyVersion);
             synchronized (out) {
                 out.print(text);
@@ -158,9 +156,9 @@
         }
     }
 
-    /** All shipped scenarios, one after the other. */
+    /** All shipped scenarios. */
     @Command(name = "suite", mixinStandardHelpOptions = true,
-            description = "Plays every scenario of a folder, one after the other; the worst exit code is its own.")
+            description = "Plays every scenario of a folder, some at once; the worst exit code is its own.")
     static final class Suite extends Playing {
         @Parameters(paramLabel = "DIR", defaultValue = "scenarios", description = "default ${DEFAULT-VALUE}")
         private Path folder;
@@ -190,7 +188,7 @@
             int worst = 0;
             StringBuilder lines = new StringBuilder("\n");
             for (int i = 0; i < codes.size(); i++) {
-                int code = CommandLine.FAILED;
+                int code;
                 String word;
                 try {
                     code = codes.get(i).get();
--- a/src/main/java/mulleinfront/emulator/EmulatedWire.java
+++ b/src/main/java/mulleinfront/emulator/EmulatedWire.java
@@ -18,7 +18,7 @@
  */
 final class EmulatedWire implements Wire<Call, Answer> {
     /** Messages of a handshake, each way, before a request may be sent. */
-    private static final int HANDSHAKE_TRIPS = 2;
+    static final int HANDSHAKE_TRIPS = 2;
 
     private final World world;
     private final Time time;
--- a/src/main/java/mulleinfront/emulator/Instance.java
+++ b/src/main/java/mulleinfront/emulator/Instance.java
@@ -8,9 +8,6 @@
     /** Whether a try can be handed to it; if not, its client could not connect. */
     abstract boolean running();
 
-    /** A process begins, with the list that it finds. */
-    abstract void start(Registry.News known);
-
     /** SIGKILL. */
     abstract void kill();
 
--- a/src/main/java/mulleinfront/emulator/Proxy.java
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -39,7 +39,6 @@
     }
 
     /** A process begins and takes requests. */
-    @Override
     void start(Registry.News known) {
         if (life == null) {
             starts++;
--- a/src/main/java/mulleinfront/emulator/Scenario.java
+++ b/src/main/java/mulleinfront/emulator/Scenario.java
@@ -196,8 +196,7 @@
 
     /** The same world with another script. */
     Scenario withFaults(List<Fault> script) {
-        return new Scenario(name, title, lengthUs, settleUs, zones, network, discovery, proxies, clients, load,
-                servers, classes, tenants, overShareWorth, limits, rules, service, script);
+        return with(proxies, rules, script);
     }
 
     /** The same world with another number of client proxies; the requests are spread over them. */
@@ -205,16 +204,19 @@
         Proxies p = new Proxies(count, proxies.spread(), proxies.startWithinUs(), proxies.known(),
                 proxies.knownAgeUs(), proxies.ghosts(), proxies.startUs(), proxies.lateCallsUs(),
                 proxies.killAfterUs(), proxies.connections());
-        return new Scenario(name, title, lengthUs, settleUs, zones, network, discovery, p, clients, load, servers,
-                classes, tenants, overShareWorth, limits, rules, service, faults);
+        return with(p, rules, faults);
     }
 
     /** The same world with each time limit of its rules so much longer. */
     Scenario withSlack(long us) {
         Rules r = new Rules(rules.answerSlackUs() + us, rules.drainUs() + us, rules.coldMultiple(), rules.coldForUs(),
                 rules.coldFrom(), rules.coldUs(), rules.askWithinUs() + us);
-        return new Scenario(name, title, lengthUs, settleUs, zones, network, discovery, proxies, clients, load,
-                servers, classes, tenants, overShareWorth, limits, r, service, faults);
+        return with(proxies, r, faults);
+    }
+
+    private Scenario with(Proxies itsProxies, Rules itsRules, List<Fault> itsFaults) {
+        return new Scenario(name, title, lengthUs, settleUs, zones, network, discovery, itsProxies, clients, load,
+                servers, classes, tenants, overShareWorth, limits, itsRules, service, itsFaults);
     }
 
     /** How many servers there are. */
--- a/src/main/java/mulleinfront/emulator/ScenarioReader.java
+++ b/src/main/java/mulleinfront/emulator/ScenarioReader.java
@@ -31,9 +31,6 @@
 import mulleinfront.settings.BadFileException;
 import mulleinfront.settings.Range;
 import mulleinfront.settings.Section;
-import org.tomlj.Toml;
-import org.tomlj.TomlParseError;
-import org.tomlj.TomlParseResult;
 
 /**
  * Reads a scenario file (TOML 1.0): whole, or not at all. The keys, their units and what they mean are on the
@@ -81,27 +78,17 @@
 
     /** The same from texts: {@code file} is how to call it in messages. */
     static Scenario read(String file, String text, Worlds worlds) throws BadFileException {
-        Section own = root(file, text, null);
+        Section own = Section.root(file, text, null);
         String world = own.table("scenario").text("world", "");
         if (world.isEmpty()) {
             return read(file, own);
         }
         String[] found = worlds.find(world);
-        Section base = root(found[0], found[1], null);
+        Section base = Section.root(found[0], found[1], null);
         if (base.table("scenario").says("world")) {
             throw own.table("scenario").wrong("world", found[0] + " stands on another world itself");
         }
-        return read(file, root(file, text, base));
-    }
-
-    private static Section root(String file, String text, Section base) throws BadFileException {
-        TomlParseResult parsed = Toml.parse(text);
-        if (parsed.hasErrors()) {
-            TomlParseError first = parsed.errors().get(0);
-            throw new BadFileException(file + ":" + first.position().line() + ": "
-                    + first.getMessage().replace('\n', ' '));
-        }
-        return new Section(file, parsed, "", 1, base);
+        return read(file, Section.root(file, text, base));
     }
 
     private static Scenario read(String file, Section root) throws BadFileException {
--- a/src/main/java/mulleinfront/emulator/Stage.java
+++ b/src/main/java/mulleinfront/emulator/Stage.java
@@ -29,9 +29,6 @@
 
     /** What carries messages between the world and the client proxies. */
     public interface Outside {
-        /** A process of this client proxy begins, with this list at hand. */
-        void start(int proxy, Told known);
-
         /** SIGKILL, and a start after it. */
         void kill(int proxy);
 
@@ -165,11 +162,6 @@
                 return outside.running(number);
             }
 
-            @Override
-            void start(Registry.News known) {
-                outside.start(number, told(known));
-            }
-
             @Override
             void kill() {
                 outside.kill(number);
@@ -254,10 +246,6 @@
 
     // ---- servers -------------------------------------------------------------------------------------
 
-    private int zone(int proxy) {
-        return proxy % world.scenario.zones().size();
-    }
-
     void changed(Host host) {
         outside.changed(host.address);
     }
@@ -269,7 +257,7 @@
     /** What a client proxy's new connection to an address meets now. */
     public Door door(int proxy, int address) {
         Host host = world.at(address);
-        if (host == null || !world.network.passes(zone(proxy), host)) {
+        if (host == null || !world.network.passes(world.zoneOf(proxy), host)) {
             return Door.SILENT;
         }
         return host.alive() && host.address == address ? Door.OPEN : Door.REFUSED;
@@ -301,11 +289,11 @@
         }
 
         private long delay() {
-            return world.network.delay(zone(proxy), host.zone);
+            return world.network.delay(world.zoneOf(proxy), host.zone);
         }
 
         private boolean passes() {
-            return open && world.network.passes(zone(proxy), host) && !life.stopped();
+            return open && world.network.passes(world.zoneOf(proxy), host) && !life.stopped();
         }
 
         /** It is closed, by either side: what it carried was given up, and may have run. */
@@ -357,13 +345,13 @@
             } else {
                 world.queue.after(CLOSING_US, () -> world.audit.sent(proxy, id, r.number, host.id, firstByteAt));
             }
-            world.tally.sent(zone(proxy) == host.zone);
+            world.tally.sent(world.zoneOf(proxy) == host.zone);
             if (world.queue.now() - servedAt > life.machine().idleCloseUs()) {
                 r.reset();
                 return;
             }
-            // A new connection has its handshake first: two ways there and back, as in the emulated world.
-            int ways = fresh ? 5 : 1;
+            // A new connection has its handshake first, as in the emulated world.
+            int ways = fresh ? 2 * EmulatedWire.HANDSHAKE_TRIPS + 1 : 1;
             long us = 0;
             for (int i = 0; i < ways; i++) {
                 us += delay();
@@ -399,7 +387,7 @@
 
         private void arrive() {
             Connection c = connection;
-            if (!world.network.passes(zone(c.proxy), c.host) || c.life.stopped()) {
+            if (!world.network.passes(world.zoneOf(c.proxy), c.host) || c.life.stopped()) {
                 return;
             }
             Call call = sent.t.call;
@@ -497,7 +485,7 @@
 
         @Override
         int zone() {
-            return Stage.this.zone(proxy);
+            return world.zoneOf(proxy);
         }
 
         @Override
--- a/src/main/java/mulleinfront/emulator/World.java
+++ b/src/main/java/mulleinfront/emulator/World.java
@@ -57,15 +57,14 @@
         this.tally = new Tally(scenario);
         this.registry = new Registry(this, chance("discovery"));
         buildHosts();
-        for (int i = 0; i < scenario.proxies().count(); i++) {
-            int zone = i % scenario.zones().size();
-            proxies.add(outside != null ? outside.instance(i)
-                    : new Proxy(this, i, zone, trace.around(maker, i, queue)));
-        }
-        this.clients = new Clients(this);
         if (outside == null) {
-            startProxies();
+            startProxies(maker);
+        } else {
+            for (int i = 0; i < scenario.proxies().count(); i++) {
+                proxies.add(outside.instance(i));
+            }
         }
+        this.clients = new Clients(this);
         clients.begin(outside == null ? scenario.proxies().startWithinUs() : 0);
         new Script(this).schedule();
     }
@@ -113,10 +112,17 @@
         return host;
     }
 
-    private void startProxies() {
+    /** The zone that a client proxy is in: they are spread over all in turn. */
+    int zoneOf(int proxy) {
+        return proxy % scenario.zones().size();
+    }
+
+    private void startProxies(Core.Maker maker) {
         Scenario.Proxies spec = scenario.proxies();
         Chance chance = chance("starts");
-        for (Instance p : proxies) {
+        for (int i = 0; i < spec.count(); i++) {
+            Proxy p = new Proxy(this, i, zoneOf(i), trace.around(maker, i, queue));
+            proxies.add(p);
             queue.after((long) (spec.startWithinUs() * chance.unit()), () -> p.start(known()));
         }
     }
--- a/src/main/java/mulleinfront/kit/ClientDriver.java
+++ b/src/main/java/mulleinfront/kit/ClientDriver.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -66,7 +67,7 @@
             protected void initChannel(SocketChannel ch) {
                 ch.pipeline().addLast(new HttpResponseDecoder(), new HttpObjectAggregator(MOST_BODY), made);
             }
-        }).connect(places.daemon(request.proxy())).addListener((io.netty.channel.ChannelFuture f) -> {
+        }).connect(places.daemon(request.proxy())).addListener((ChannelFuture f) -> {
             made.channel = f.channel();
             if (!f.isSuccess()) {
                 open.remove(request.id());
--- a/src/main/java/mulleinfront/kit/DaemonProcess.java
+++ b/src/main/java/mulleinfront/kit/DaemonProcess.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 import mulleinfront.Balancer.RequestClass;
 import mulleinfront.Balancer.Settings;
 import mulleinfront.emulator.Scenario;
@@ -40,9 +41,6 @@
     /** How it is at a moment; descriptors and memory are of the process itself. */
     record Sample(int descriptors, long residentKb, long cpuMs) { }
 
-    /** What {@code /-/ready} said. */
-    record Ready(int status, String version) { }
-
     DaemonProcess(int number, String command, Path root, Path folder, String config, InetSocketAddress address)
             throws IOException {
         this.number = number;
@@ -78,7 +76,7 @@
     }
 
     /** Runs something when it has ended, on another thread; the code is its exit code. */
-    void onExit(java.util.function.IntConsumer then) {
+    void onExit(IntConsumer then) {
         process.onExit().thenAccept(p -> {
             closeGuard();
             then.accept(p.exitValue());
@@ -110,8 +108,8 @@
         return process.waitFor(millis, TimeUnit.MILLISECONDS);
     }
 
-    /** Asks whether it is ready; null if there is no answer. */
-    Ready ready() {
+    /** Asks whether it is ready; the version that it says, or null if it is not. */
+    String ready() {
         try (Socket s = new Socket()) {
             s.connect(address, ASK_MS);
             s.setSoTimeout(ASK_MS);
@@ -125,8 +123,7 @@
                     version = line.substring(Version.HEADER.length() + 1).strip();
                 }
             }
-            return lines[0].matches("HTTP/1.1 \\d{3}.*") ? new Ready(Integer.parseInt(lines[0].substring(9, 12)),
-                    version) : null;
+            return lines[0].startsWith("HTTP/1.1 200") ? version : null;
         } catch (IOException e) {
             return null;
         }
--- a/src/main/java/mulleinfront/kit/RealRun.java
+++ b/src/main/java/mulleinfront/kit/RealRun.java
@@ -11,9 +11,12 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
+import java.util.Locale;
+import java.util.Objects;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import mulleinfront.emulator.Scenario;
 import mulleinfront.emulator.Stage;
@@ -26,6 +29,7 @@
     /** Protocol: each time limit is 50 ms longer on sockets. */
     private static final long SLACK_US = 50_000;
     private static final long READY_MS = 60_000;
+    private static final long READY_POLL_MS = 20;
     private static final long END_MS = 10_000;
     /** Growth of descriptors from quarter to quarter, in all of the first three, that is a leak. */
     private static final double LEAK = 1.15;
@@ -59,6 +63,7 @@
     private volatile boolean ending;
     private long readyMs = READY_MS;
     private long endMs = END_MS;
+    private boolean anyVersion;
 
     /**
      * @param command starts one client proxy, by {@code /bin/sh -c} from {@code root}; its last word should be an
@@ -123,7 +128,7 @@
         World.Result result = null;
         try {
             version = begin();
-            if (failures.isEmpty() && version.equals(Version.OWN) || failures.isEmpty() && anyVersion) {
+            if (failures.isEmpty() && (anyVersion || version.equals(Version.OWN))) {
                 onLoop(() -> {
                     playing = true;
                     Arrays.fill(up, true);
@@ -142,8 +147,11 @@
                 }
             }
         } finally {
-            ending = true;
-            endAll();
+            endAll(onLoop(() -> {
+                clock.stop();
+                ending = true;
+                return Arrays.stream(daemons).filter(Objects::nonNull).toList();
+            }));
             onLoop(() -> {
                 servers.close();
                 discovery.close();
@@ -154,11 +162,9 @@
         List<Rehearsal.Quarter> quarters = quarters();
         leaks(quarters);
         return new Rehearsal(result, null, List.copyOf(failures), quarters, new double[] {clock.lateMs(50),
-            clock.lateMs(99), clock.lateMs(100)}, version, Version.OWN, folder);
+            clock.lateMs(99), clock.lateMs(100)}, version, Version.OWN);
     }
 
-    private boolean anyVersion;
-
     /** Other bounds of the waits for a client proxy to be ready, and to end. */
     RealRun patience(long forReadyMs, long forEndMs) {
         readyMs = forReadyMs;
@@ -213,35 +219,39 @@
         String version = Version.OWN;
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(readyMs);
         for (DaemonProcess d : daemons) {
-            DaemonProcess.Ready ready = d.ready();
-            while ((ready == null || ready.status() != 200) && d.alive() && System.nanoTime() < until && !interrupted) {
-                Thread.sleep(50);
-                ready = d.ready();
-            }
-            if (ready == null || ready.status() != 200) {
+            String said = awaitReady(d, () -> System.nanoTime() < until && !interrupted);
+            if (said == null) {
                 failures.add("client proxy " + d.number() + " never got ready"
                         + (d.alive() ? "" : ": it ended") + (d.lastWords().isEmpty() ? "" : ": " + d.lastWords()));
                 return version;
             }
-            if (!ready.version().equals(Version.OWN)) {
-                version = ready.version();
-            }
+            version = said.equals(Version.OWN) ? version : said;
         }
         return version;
     }
 
+    /** Asks one until it is ready; the version that it says, or null if it ended before or there is no time left. */
+    private static String awaitReady(DaemonProcess d, BooleanSupplier timeLeft) throws InterruptedException {
+        String said = d.ready();
+        while (said == null && d.alive() && timeLeft.getAsBoolean()) {
+            Thread.sleep(READY_POLL_MS);
+            said = d.ready();
+        }
+        return said;
+    }
+
     private void watch() throws InterruptedException {
         long length = stage.endsAt();
         long said = 0;
         for (long now; (now = clock.now()) < length && !interrupted;) {
             List<DaemonProcess.Sample> all = new ArrayList<>();
-            for (DaemonProcess d : daemons.clone()) {
+            for (DaemonProcess d : daemons) {
                 all.add(d.sample());
             }
             samples.add(all);
             if (now / 10_000_000 > said) {
                 said = now / 10_000_000;
-                progress.accept(String.format(java.util.Locale.ROOT, "%d of %d s", now / 1_000_000, length / 1_000_000));
+                progress.accept(String.format(Locale.ROOT, "%d of %d s", now / 1_000_000, length / 1_000_000));
             }
             Thread.sleep(Math.min(SAMPLE_MS, Math.max(1, (length - now) / 1000)));
         }
@@ -287,26 +297,14 @@
         }
     }
 
-    private void endAll() throws InterruptedException {
-        for (DaemonProcess d : daemons) {
-            if (d != null) {
-                d.end();
-            }
-        }
-        for (DaemonProcess d : daemons) {
-            if (d != null && !d.ended(endMs)) {
+    private void endAll(List<DaemonProcess> all) throws InterruptedException {
+        all.forEach(DaemonProcess::end);
+        for (DaemonProcess d : all) {
+            if (!d.ended(endMs)) {
                 failures.add("client proxy " + d.number() + " did not end within " + endMs / 1000 + " s of SIGTERM");
             }
         }
-        killAll();
-    }
-
-    private void killAll() {
-        for (DaemonProcess d : daemons) {
-            if (d != null) {
-                d.kill();
-            }
-        }
+        all.forEach(DaemonProcess::kill);
     }
 
     // ---- what the world does; on the event loop --------------------------------------------------------
@@ -337,7 +335,7 @@
         try {
             launch(proxy, stage.begin(proxy));
             DaemonProcess d = daemons[proxy];
-            Thread waits = new Thread(() -> awaitReady(d), "ready");
+            Thread waits = new Thread(() -> becomeReady(d), "ready");
             waits.setDaemon(true);
             waits.start();
         } catch (IOException e) {
@@ -346,15 +344,10 @@
     }
 
     /** Protocol: the application begins to send once its client proxy has said that it is ready. */
-    private void awaitReady(DaemonProcess d) {
+    private void becomeReady(DaemonProcess d) {
         try {
-            while (d.alive() && !ending) {
-                DaemonProcess.Ready ready = d.ready();
-                if (ready != null && ready.status() == 200) {
-                    clock.loop.execute(() -> up[d.number()] = daemons[d.number()] == d);
-                    return;
-                }
-                Thread.sleep(20);
+            if (awaitReady(d, () -> !ending) != null) {
+                clock.loop.execute(() -> up[d.number()] = daemons[d.number()] == d);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -366,11 +359,6 @@
         return up[proxy];
     }
 
-    @Override
-    public void start(int proxy, Stage.Told known) {
-        throw new IllegalStateException("client proxies are started before the world");
-    }
-
     @Override
     public void kill(int proxy) {
         up[proxy] = false;
--- a/src/main/java/mulleinfront/kit/Rehearsal.java
+++ b/src/main/java/mulleinfront/kit/Rehearsal.java
@@ -1,6 +1,5 @@
 package mulleinfront.kit;
 
-import java.nio.file.Path;
 import java.util.List;
 import mulleinfront.emulator.World;
 
@@ -14,10 +13,9 @@
  * @param lateMs how late the stand-ins did what was due: the median, all but one in a hundred, the worst, milliseconds
  * @param daemonVersion the version that the client proxies said
  * @param kitVersion this program's
- * @param folder where configurations and logs are
  */
 public record Rehearsal(World.Result sockets, World.Result virtual, List<String> failures, List<Quarter> quarters,
-        double[] lateMs, String daemonVersion, String kitVersion, Path folder) {
+        double[] lateMs, String daemonVersion, String kitVersion) {
     /** A stand-in this late at one time in a hundred says little of the daemon, milliseconds. */
     static final double BUSY_P99_MS = 20;
 
@@ -27,6 +25,11 @@
     /** The most of each over all client proxies in a quarter of the run, and the CPU that one used on the average. */
     public record Quarter(int descriptors, long residentKb, double cpuPart) { }
 
+    /** The same with the day on virtual time beside it. */
+    public Rehearsal beside(World.Result virtualDay) {
+        return new Rehearsal(sockets, virtualDay, failures, quarters, lateMs, daemonVersion, kitVersion);
+    }
+
     /** What it comes to. A broken rule counts also on a busy machine only if that could not have made it. */
     public Verdict verdict(boolean anyVersion) {
         if (!anyVersion && !daemonVersion.equals(kitVersion)) {
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -57,8 +57,6 @@
     private final Core<Call, Upstream.Answer> core;
     private final Map<String, Integer> classes = new HashMap<>();
     private boolean rehearsing;
-    /** Whether others in this process listen on the same port. */
-    private boolean shared;
 
     private ClientProxy(Config config, EventLoopGroup group) {
         this.config = config;
@@ -168,7 +166,7 @@
             ClientProxy proxy = new ClientProxy(config, group);
             proxy.rehearsing = true;
             proxy.core.begin((settings, seed, now, actions) -> Rehearsal.module(actions), 0);
-            proxy.listen();
+            proxy.listen(false);
             proxy.loop.submit(() -> {
                 proxy.discovery.take(Rehearsal.self(config.listen().getAddress(), proxy.port()), Source.FULL);
                 return new Rehearsal.Rounds(proxy.loop, proxy.upstream, proxy.discovery.host(Rehearsal.SELF),
@@ -187,9 +185,8 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             ClientProxy proxy = new ClientProxy(config, group);
-            proxy.shared = shared;
             proxy.loop.submit(() -> proxy.begin(maker)).get();
-            proxy.listen();
+            proxy.listen(shared);
             System.err.println("mulleinfront: listening on "
                     + NetUtil.toSocketAddressString(config.listen()));
             return proxy;
@@ -199,7 +196,10 @@
         }
     }
 
-    private void listen() throws Exception {
+    /**
+     * @param shared whether others in this process listen on the same port
+     */
+    private void listen(boolean shared) throws Exception {
         ChannelFuture bound = loop.submit(() -> frontend.listen(config.listen(), shared)).get().await();
         if (!bound.isSuccess()) {
             throw new IOException("can't listen on " + NetUtil.toSocketAddressString(config.listen()) + ": "
--- a/src/main/java/mulleinfront/proxy/Rehearsal.java
+++ b/src/main/java/mulleinfront/proxy/Rehearsal.java
@@ -19,6 +19,7 @@
 import mulleinfront.Balancer.Request;
 import mulleinfront.Balancer.RequestClass;
 import mulleinfront.Balancer.Source;
+import mulleinfront.core.Silent;
 import mulleinfront.settings.Listing;
 
 /**
@@ -142,28 +143,4 @@
             left.await(MOST_SECONDS, TimeUnit.SECONDS);
         }
     }
-
-    /** Decisions that go nowhere. */
-    private static class Silent implements Balancer.Actions {
-        @Override
-        public void send(String requestId, String endpointId, long timeoutUs) { }
-
-        @Override
-        public void refuse(String requestId, long retryAfterUs) { }
-
-        @Override
-        public void fail(String requestId) { }
-
-        @Override
-        public void cancel(String requestId, int attempt) { }
-
-        @Override
-        public void probe(String endpointId) { }
-
-        @Override
-        public void subscribe() { }
-
-        @Override
-        public void wakeAt(long atUs) { }
-    }
 }
--- a/src/main/java/mulleinfront/settings/Machine.java
+++ b/src/main/java/mulleinfront/settings/Machine.java
@@ -5,9 +5,7 @@
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.util.List;
-import org.tomlj.Toml;
-import org.tomlj.TomlParseError;
-import org.tomlj.TomlParseResult;
+import java.util.stream.IntStream;
 
 /**
  * What one process may use of a machine beyond the deployed one core, 192 MB and 1,024 descriptors.
@@ -39,11 +37,7 @@
         } catch (IOException e) {
             throw new BadFileException(file + ": can't be read (" + e.getMessage() + ")");
         }
-        TomlParseResult parsed = Toml.parse(text);
-        for (TomlParseError error : parsed.errors()) {
-            throw new BadFileException(file + ":" + error.position().line() + ": " + error.getMessage());
-        }
-        Section root = new Section(file.toString(), parsed, "", 1, null);
+        Section root = Section.root(file.toString(), text, null);
         int loops = root.count("loops", 1, 1);
         if (loops > MOST_LOOPS) {
             throw root.wrong("loops", "must be " + MOST_LOOPS + " at most");
@@ -81,7 +75,7 @@
             throw new BadFileException("loops: " + loops + " event loops need more than the " + all
                     + " descriptors that limits and memory (" + HEAP_PER_SOCKET / 1024 + " KB each) allow");
         }
-        return java.util.stream.IntStream.range(0, loops)
+        return IntStream.range(0, loops)
                 .mapToObj(i -> config.part(i, loops, each + ownSockets)).toList();
     }
 }
--- a/src/main/java/mulleinfront/settings/Section.java
+++ b/src/main/java/mulleinfront/settings/Section.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import org.tomlj.Toml;
 import org.tomlj.TomlArray;
+import org.tomlj.TomlParseError;
+import org.tomlj.TomlParseResult;
 import org.tomlj.TomlPosition;
 import org.tomlj.TomlTable;
 
@@ -35,6 +37,22 @@
         this.base = base;
     }
 
+    /**
+     * The whole of a file.
+     *
+     * @param file how to call it in messages
+     * @param base the file that it stands on, or null
+     */
+    public static Section root(String file, String text, Section base) throws BadFileException {
+        TomlParseResult parsed = Toml.parse(text);
+        if (parsed.hasErrors()) {
+            TomlParseError first = parsed.errors().get(0);
+            throw new BadFileException(file + ":" + first.position().line() + ": "
+                    + first.getMessage().replace('\n', ' '));
+        }
+        return new Section(file, parsed, "", 1, base);
+    }
+
     /** Whether the file itself says it, rather than the one that it stands on. */
     public boolean says(String key) {
         return table.contains(List.of(key));
--- a/src/test/java/mulleinfront/kit/RealRunTest.java
+++ b/src/test/java/mulleinfront/kit/RealRunTest.java
@@ -32,6 +32,7 @@
 class RealRunTest {
     private static final String JAVA = "'" + Path.of(System.getProperty("java.home"), "bin", "java")
             + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx96m -cp '" + System.getProperty("java.class.path") + "' ";
+    private static final String BROKEN = "exec " + JAVA + BrokenDaemon.class.getName() + " ";
     private static final String DAEMON = "exec " + JAVA + "mulleinfront.Main serve";
 
     @TempDir
@@ -138,7 +139,7 @@
     @CsvSource({"none,,", "resends,TWICE,may have run", "calls-it-harmless,TWICE,refused though",
         "answers-twice,LOST,answered"})
     void brokenDaemonsAreCaughtByName(String fault, Rule rule, String words) throws Exception {
-        Rehearsal r = run("exec " + JAVA + BrokenDaemon.class.getName() + " " + fault, """
+        Rehearsal r = run(BROKEN + fault, """
                 length = "3s"
                 [proxies]
                 count = 1
@@ -178,7 +179,7 @@
     @Test
     void oneThatGoesOnSendingToADrainingServerIsCaught() throws Exception {
         // It never listens to discovery: what discovery has to tell counts as told all the same.
-        Rehearsal r = run("exec " + JAVA + BrokenDaemon.class.getName() + " none", """
+        Rehearsal r = run(BROKEN + "none", """
                 length = "14s"
                 [proxies]
                 count = 1
@@ -195,7 +196,7 @@
 
     @Test
     void oneThatFloodsAColdServerIsCaught() throws Exception {
-        Rehearsal r = run("exec " + JAVA + BrokenDaemon.class.getName() + " floods", """
+        Rehearsal r = run(BROKEN + "floods", """
                 length = "7s"
                 [proxies]
                 count = 1
@@ -212,7 +213,7 @@
 
     @Test
     void oneThatEndsAtOnceOnSigtermLosesWhatItHad() throws Exception {
-        Rehearsal r = run("exec " + JAVA + BrokenDaemon.class.getName() + " none", """
+        Rehearsal r = run(BROKEN + "none", """
                 length = "4s"
                 [proxies]
                 count = 1
@@ -234,7 +235,7 @@
 
     @Test
     void oneThatLeaksIsCaught() throws Exception {
-        Rehearsal r = run("exec " + JAVA + BrokenDaemon.class.getName() + " leaks",
+        Rehearsal r = run(BROKEN + "leaks",
                 "length = \"12s\"\n[proxies]\ncount = 1\n[load]\nrate = \"40/s\"\n").play();
         assertTrue(r.failures().stream().anyMatch(f -> f.startsWith("client proxies leak")), r.failures() + " "
                 + r.quarters());
@@ -242,7 +243,7 @@
 
     @Test
     void anotherVersionIsNotJudgedUnlessAskedTo() throws Exception {
-        String command = "exec " + JAVA + BrokenDaemon.class.getName() + " other-version";
+        String command = BROKEN + "other-version";
         String lines = "length = \"1s\"\n[proxies]\ncount = 1\n[load]\nrate = \"20/s\"\n";
         Rehearsal not = run(command, lines).play();
         assertNull(not.sockets());
@@ -268,11 +269,11 @@
         Rehearsal gone = run("echo no way; exit 7", lines).play();
         assertTrue(gone.failures().get(0).contains("it ended: ") && gone.failures().get(0).contains("no way"),
                 gone.failures().toString());
-        Rehearsal middle = run("(sleep 3; kill -9 $$) & exec " + JAVA + BrokenDaemon.class.getName() + " none",
+        Rehearsal middle = run("(sleep 3; kill -9 $$) & " + BROKEN + "none",
                 "length = \"6s\"\n[proxies]\ncount = 1\n[load]\nrate = \"20/s\"\n").play();
         assertTrue(middle.failures().stream().anyMatch(f -> f.contains("ended by itself, exit code 137")),
                 middle.failures().toString());
-        Rehearsal deaf = run("trap '' TERM; exec " + JAVA + BrokenDaemon.class.getName() + " none", lines)
+        Rehearsal deaf = run("trap '' TERM; " + BROKEN + "none", lines)
                 .patience(60_000, 500).play();
         assertTrue(deaf.failures().stream().anyMatch(f -> f.contains("did not end within")), deaf.failures().toString());
     }
