--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -1,5 +1,6 @@
 package mulleinfront.proxy;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -12,6 +13,8 @@
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -20,6 +23,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import mulleinfront.Balancer;
 import mulleinfront.Balancer.Effect;
@@ -28,8 +32,11 @@
 import mulleinfront.Balancer.RequestClass;
 import mulleinfront.Balancer.Source;
 import mulleinfront.core.Core;
+import mulleinfront.core.Standing;
 import mulleinfront.core.Time;
 import mulleinfront.core.Wire;
+import mulleinfront.manage.Calls;
+import mulleinfront.manage.ManagementServer;
 import mulleinfront.settings.Config;
 
 /**
@@ -56,7 +63,10 @@
     private final Frontend frontend;
     private final Core<Call, Upstream.Answer> core;
     private final Map<String, Integer> classes = new HashMap<>();
-    private boolean rehearsing;
+    private final Standing standing = new Standing();
+    /** A listening socket that the platform handed over, until it is taken up. */
+    private ServerSocketChannel inherited;
+    private Channel management;
 
     private ClientProxy(Config config, EventLoopGroup group) {
         this.config = config;
@@ -70,6 +80,8 @@
             @Override
             public void listed(Source source, List<Endpoint> endpoints) {
                 core.listed(source, endpoints);
+                standing.listed(discovery.holdsList());
+                adopt();
             }
 
             @Override
@@ -77,7 +89,7 @@
                 watchFailed();
             }
         });
-        this.frontend = new Frontend(this, loop, half);
+        this.frontend = new Frontend(this, standing, loop, half);
         List<RequestClass> all = config.settings().classes();
         for (int i = 0; i < all.size(); i++) {
             classes.put(all.get(i).name(), i);
@@ -135,9 +147,19 @@
 
     /** Starts to serve; returns once it listens. */
     public static ClientProxy start(Config config) throws Exception {
+        return start(config, (ServerSocketChannel) null);
+    }
+
+    /**
+     * Starts to serve; returns once it listens.
+     *
+     * @param inherited the listening socket of the configuration's address, which others may have too: nothing is
+     *        accepted on it before there is a list to serve by; null to listen there anew
+     */
+    public static ClientProxy start(Config config, ServerSocketChannel inherited) throws Exception {
         Rehearsal.decide(config.settings());
-        rehearse(config);
-        return start(config, Balancer::create);
+        rehearse(config, inherited != null);
+        return start(config, Balancer::create, false, inherited);
     }
 
     /**
@@ -146,11 +168,11 @@
      */
     public static List<ClientProxy> startAll(List<Config> configs) throws Exception {
         Rehearsal.decide(configs.get(0).settings());
-        rehearse(configs.get(0));
+        rehearse(configs.get(0), false);
         List<ClientProxy> all = new ArrayList<>();
         try {
             for (Config config : configs) {
-                all.add(start(all.isEmpty() ? config : config.on(all.get(0).port()), Balancer::create, true));
+                all.add(start(all.isEmpty() ? config : config.on(all.get(0).port()), Balancer::create, true, null));
             }
             return all;
         } catch (Exception e) {
@@ -159,16 +181,27 @@
         }
     }
 
-    /** Is its own host for a moment, and not ready; ends before the real one begins. */
-    private static void rehearse(Config config) throws Exception {
+    /**
+     * Is its own host for a moment, and not ready; ends before the real one begins.
+     *
+     * @param held whether others serve at the clients' address now: then it is at the operators', where they are told
+     *        that it starts
+     */
+    private static void rehearse(Config config, boolean held) throws Exception {
+        InetSocketAddress at = held ? config.management() : config.listen();
+        if (at == null) {
+            return;
+        }
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             ClientProxy proxy = new ClientProxy(config, group);
-            proxy.rehearsing = true;
             proxy.core.begin((settings, seed, now, actions) -> Rehearsal.module(actions), 0);
-            proxy.listen(false);
+            bound(proxy.loop.submit(() -> proxy.frontend.listen(at, false,
+                    held ? proxy.new Operated(List.of(proxy)) : null)).get(), at);
             proxy.loop.submit(() -> {
-                proxy.discovery.take(Rehearsal.self(config.listen().getAddress(), proxy.port()), Source.FULL);
+                proxy.discovery.take(Rehearsal.self(at.getAddress(), proxy.port()), Source.FULL);
+                // What listens is no client proxy, whatever its list says.
+                proxy.standing.listed(false);
                 return new Rehearsal.Rounds(proxy.loop, proxy.upstream, proxy.discovery.host(Rehearsal.SELF),
                         config.settings().classes().get(0)).next();
             }).get().await();
@@ -178,15 +211,21 @@
     }
 
     static ClientProxy start(Config config, Core.Maker maker) throws Exception {
-        return start(config, maker, false);
+        return start(config, maker, false, null);
     }
 
-    private static ClientProxy start(Config config, Core.Maker maker, boolean shared) throws Exception {
+    private static ClientProxy start(Config config, Core.Maker maker, boolean shared, ServerSocketChannel inherited)
+            throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             ClientProxy proxy = new ClientProxy(config, group);
-            proxy.loop.submit(() -> proxy.begin(maker)).get();
-            proxy.listen(shared);
+            proxy.loop.submit(() -> proxy.begin(maker, inherited)).get();
+            if (inherited == null) {
+                // Ephemeral ports are for tests: what it is bound to is known only now.
+                bound(proxy.loop.submit(() -> proxy.frontend.listen(config.listen(), shared, null)).get(),
+                        config.listen());
+                proxy.standing.listening();
+            }
             System.err.println("mulleinfront: listening on "
                     + NetUtil.toSocketAddressString(config.listen()));
             return proxy;
@@ -196,18 +235,81 @@
         }
     }
 
+    private static Channel bound(ChannelFuture binding, InetSocketAddress address) throws Exception {
+        binding.await();
+        if (!binding.isSuccess()) {
+            throw new IOException("can't listen on " + NetUtil.toSocketAddressString(address) + ": "
+                    + binding.cause().getMessage());
+        }
+        return binding.channel();
+    }
+
+    /** Takes up the inherited socket once there is a list: until then its clients wait for whoever else has it. */
+    private void adopt() {
+        if (inherited != null && standing.ready()) {
+            frontend.adopt(inherited);
+            inherited = null;
+            standing.listening();
+        }
+    }
+
     /**
-     * @param shared whether others in this process listen on the same port
+     * Opens the operators' door of a process at the first one's {@code management} address, if it has one.
+     *
+     * @param proxies all of the process, which are operated as one
      */
-    private void listen(boolean shared) throws Exception {
-        ChannelFuture bound = loop.submit(() -> frontend.listen(config.listen(), shared)).get().await();
-        if (!bound.isSuccess()) {
-            throw new IOException("can't listen on " + NetUtil.toSocketAddressString(config.listen()) + ": "
-                    + bound.cause().getMessage());
+    public static void operate(List<ClientProxy> proxies) throws Exception {
+        ClientProxy first = proxies.get(0);
+        InetSocketAddress at = first.config.management();
+        if (at != null) {
+            Operated process = first.new Operated(proxies);
+            first.management = bound(first.loop.submit(() -> ManagementServer.listen(first.loop, at, Upstream.BUFFERS,
+                    new Calls(process))).get(), at);
         }
     }
 
-    private void begin(Core.Maker maker) {
+    /** What operators call, for all client proxies of a process. */
+    private final class Operated implements Calls.Process {
+        private final List<ClientProxy> all;
+
+        Operated(List<ClientProxy> all) {
+            this.all = all;
+        }
+
+        @Override
+        public boolean takesClients() {
+            return all.stream().allMatch(p -> p.standing.takesClients());
+        }
+
+        @Override
+        public String standing() {
+            return standing.word();
+        }
+
+        @Override
+        public void quiesce() {
+            each(p -> p.standing.quiesce());
+        }
+
+        @Override
+        public void resume() {
+            each(p -> p.standing.resume());
+        }
+
+        /** At once for the one that owns the door, so that its answer tells what holds. */
+        private void each(Consumer<ClientProxy> what) {
+            for (ClientProxy p : all) {
+                if (p.loop.inEventLoop()) {
+                    what.accept(p);
+                } else {
+                    p.loop.execute(() -> what.accept(p));
+                }
+            }
+        }
+    }
+
+    private void begin(Core.Maker maker, ServerSocketChannel handedOver) {
+        inherited = handedOver;
         upstream.begin();
         core.begin(maker, config.seed());
         if (config.known() != null) {
@@ -224,6 +326,9 @@
         System.err.println("mulleinfront: told to end; finishing what is open");
         loop.execute(() -> frontend.drain(() -> {
             discovery.stop();
+            if (management != null) {
+                management.close();
+            }
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }));
         return group.terminationFuture();
@@ -242,12 +347,13 @@
         return frontend.port();
     }
 
-    long now() {
-        return clock.now();
+    /** The port at which operators call it; only where there is a door. */
+    int managementPort() {
+        return ((InetSocketAddress) management.localAddress()).getPort();
     }
 
-    boolean ready() {
-        return discovery.holdsList() && !rehearsing;
+    long now() {
+        return clock.now();
     }
 
     private void watchFailed() {
--- a/src/main/java/mulleinfront/proxy/Framing.java
+++ b/src/main/java/mulleinfront/proxy/Framing.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -29,8 +30,20 @@
     private Framing() {}
 
     static class RequestDecoder extends HttpRequestDecoder {
-        RequestDecoder() {
+        private final Runnable heard;
+
+        /**
+         * @param heard run whenever bytes have come, before what they make is handed on
+         */
+        RequestDecoder(Runnable heard) {
             super(STRICT);
+            this.heard = heard;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object in) throws Exception {
+            heard.run();
+            super.channelRead(ctx, in);
         }
 
         @Override
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -16,6 +16,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -30,12 +31,17 @@
 import java.math.BigDecimal;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import mulleinfront.core.Caller;
 import mulleinfront.core.Core;
+import mulleinfront.core.Standing;
+import mulleinfront.manage.Calls;
+import mulleinfront.manage.ManagementServer;
 import mulleinfront.settings.Version;
 
 /**
@@ -61,8 +67,14 @@
      */
     private static final long QUIET_MS = 2_300;
     private static final long SWEEP_MS = 100;
-    /** How long requests go on coming after SIGTERM: 0.4 s at most by the protocol, and some slack. */
-    private static final long DRAIN_MS = 600;
+    /** How long new connections go on coming after SIGTERM: 0.4 s at most by the protocol, and some slack. */
+    private static final long LISTEN_ON_MS = 480;
+    /** And how long requests do: a connection that was accepted last has had time for its first. */
+    private static final long DRAIN_MS = 650;
+    /** While clients are sent away one that asks nothing is closed on after this: what crosses it is rare by then. */
+    private static final long SENT_AWAY_MS = 400;
+    /** Time for a head from its first byte, and for a body from one piece to the next. */
+    private static final long HEAD_MS = 2_600;
     /** A kit of another version must not judge this one. */
     private static final String VERSION = Version.HEADER + ": " + Version.OWN + "\r\n";
 
@@ -73,13 +85,14 @@
     /** Connections without an open request, the longest quiet first. */
     private final LinkedHashSet<Client> quiet = new LinkedHashSet<>();
     private long held;
+    private final Standing standing;
     private Channel server;
-    private boolean draining;
     private boolean deaf;
 
-    Frontend(ClientProxy proxy, EventLoop loop, int mostClients) {
+    Frontend(ClientProxy proxy, Standing standing, EventLoop loop, int mostClients) {
         this.mostClients = mostClients;
         this.proxy = proxy;
+        this.standing = standing;
         this.loop = loop;
         this.clients = new DefaultChannelGroup(loop);
     }
@@ -88,13 +101,26 @@
      * Listens.
      *
      * @param shared whether others listen there too, each with its own part of the connections
+     * @param door the operators' who may call there too, since it is their address; null if it is not
      */
-    ChannelFuture listen(InetSocketAddress address, boolean shared) {
-        ServerBootstrap server = new ServerBootstrap();
+    ChannelFuture listen(InetSocketAddress address, boolean shared, Calls.Process door) {
+        ServerBootstrap server = bootstrap(door).channel(NioServerSocketChannel.class);
         if (shared) {
             server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
-        ChannelFuture bound = server.group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture bound = server.bind(address);
+        this.server = bound.channel();
+        return bound;
+    }
+
+    /** Accepts on a socket that listens already. */
+    void adopt(ServerSocketChannel listening) {
+        server = bootstrap(null).channelFactory(() -> new NioServerSocketChannel(listening)).register().channel();
+    }
+
+    private ServerBootstrap bootstrap(Calls.Process door) {
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        return new ServerBootstrap().group(loop)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .option(ChannelOption.SO_BACKLOG, 1024)
                 .childOption(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
@@ -103,18 +129,42 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        Client client = new Client(ch);
-                        ch.pipeline().addLast(new Framing.RequestDecoder(), client);
-                        admit(ch, client);
+                        if (door == null) {
+                            serve(ch);
+                        } else {
+                            ch.pipeline().addLast(new Divide(door));
+                        }
                     }
-                }).bind(address);
-        this.server = bound.channel();
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
-        return bound;
+                });
+    }
+
+    private void serve(Channel ch) {
+        Client client = new Client(ch);
+        ch.pipeline().addLast(new Framing.RequestDecoder(client::heard), client);
+        admit(ch, client);
+    }
+
+    /** Tells operators from the rehearsal's own requests: a method has capitals, a call has none. */
+    private final class Divide extends ByteToMessageDecoder {
+        private final Calls.Process door;
+
+        Divide(Calls.Process door) {
+            this.door = door;
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+            if (Character.isUpperCase(in.getByte(in.readerIndex()))) {
+                serve(ctx.channel());
+            } else {
+                ManagementServer.answerOn(ctx.channel(), new Calls(door));
+            }
+            ctx.pipeline().remove(this);
+        }
     }
 
     /** At the most, the longest quiet one makes room; where all have a request open, a new one must wait. */
-    private void admit(SocketChannel ch, Client client) {
+    private void admit(Channel ch, Client client) {
         if (clients.size() >= mostClients && !quiet.isEmpty()) {
             Client longest = quiet.iterator().next();
             quiet.remove(longest);
@@ -130,9 +180,11 @@
     }
 
     private void sweep() {
-        long before = System.nanoTime() - TimeUnit.MILLISECONDS.toNanos(QUIET_MS);
-        for (Client c; !quiet.isEmpty() && (c = quiet.iterator().next()).quietAt - before < 0;) {
-            c.tooLong();
+        long now = System.nanoTime();
+        for (Client c : quiet.toArray(Client[]::new)) {
+            if (c.overdue(now)) {
+                c.tooLong();
+            }
         }
     }
 
@@ -145,10 +197,14 @@
      * reading, closes what is idle and runs {@code done} when the last client has its answer.
      */
     void drain(Runnable done) {
-        draining = true;
+        standing.ending();
+        loop.schedule(() -> {
+            if (server != null) {
+                server.close();
+            }
+        }, LISTEN_ON_MS, TimeUnit.MILLISECONDS);
         loop.schedule(() -> {
             deaf = true;
-            server.close();
             clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
             clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
         }, DRAIN_MS, TimeUnit.MILLISECONDS);
@@ -170,7 +226,10 @@
         private boolean pumping;
         private boolean peeking;
         private boolean keepAlive;
+        /** When the connection last made progress: an answer was given or a byte of a request read. */
         private long quietAt;
+        /** When the first byte of the request being read came; 0 if nothing of one has. */
+        private long startedAt;
         private Core.Exchange<Call, Upstream.Answer> exchange;
 
         /** A request as read, or what is to be said of one that can't be. */
@@ -182,6 +241,25 @@
 
         // ---- reading ---------------------------------------------------------------------------------
 
+        /** Bytes came, whatever they are. */
+        void heard() {
+            long now = System.nanoTime();
+            startedAt = startedAt == 0 ? now : startedAt;
+            if (quiet.remove(this)) {
+                quietAt = now;
+                quiet.add(this);
+            }
+        }
+
+        /** Whether it has said nothing, or not enough, for too long. */
+        private boolean overdue(long now) {
+            long silent = TimeUnit.NANOSECONDS.toMillis(now - quietAt);
+            if (startedAt == 0) {
+                return silent > (standing.sendsAway() ? SENT_AWAY_MS : QUIET_MS);
+            }
+            return silent > QUIET_MS || head == null && TimeUnit.NANOSECONDS.toMillis(now - startedAt) > HEAD_MS;
+        }
+
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject in) {
             if (lost) {
@@ -252,6 +330,7 @@
             }
             HttpRequest request = head;
             head = null;
+            startedAt = 0;
             ahead.add(new Ahead(request, whole, proxy.now(), null));
             pump();
         }
@@ -318,7 +397,7 @@
             if (in == null) {
                 answer(next.error());
             } else if (path.equals("/-/ready")) {
-                answer(proxy.ready() && !draining ? HttpResponseStatus.OK
+                answer(standing.ready() ? HttpResponseStatus.OK
                         : HttpResponseStatus.SERVICE_UNAVAILABLE, ClientProxy.NO_BODY, 0, VERSION);
             } else if (!path.equals("/api") && !path.startsWith("/api/")) {
                 answer(HttpResponseStatus.NOT_FOUND);
@@ -359,7 +438,7 @@
 
         private void answer(HttpResponseStatus status, Upstream.Answer what, long retryAfterUs, String lines) {
             exchange = null;
-            boolean last = !keepAlive || draining && ahead.isEmpty();
+            boolean last = !keepAlive || standing.sendsAway() && ahead.isEmpty();
             ByteBuf out = encode(status, what, retryAfterUs, lines, last);
             hush();
             channel.writeAndFlush(out).addListener(written -> {
@@ -393,6 +472,7 @@
         private void hush() {
             if (channel.isActive()) {
                 quietAt = System.nanoTime();
+                startedAt = startedAt == 0 ? 0 : quietAt;
                 quiet.remove(this);
                 quiet.add(this);
                 acceptIfRoom(channel);
--- a/src/main/java/mulleinfront/proxy/Serve.java
+++ b/src/main/java/mulleinfront/proxy/Serve.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
@@ -33,14 +34,36 @@
         CompletableFuture<List<ClientProxy>> started = new CompletableFuture<>();
         Signal.handle(new Signal("HUP"), hup -> started.thenAccept(proxies -> reload(proxies, file)));
         Config config = Config.load(file);
-        List<ClientProxy> proxies = machine == null ? List.of(ClientProxy.start(config))
+        ServerSocketChannel inherited = inherited(System.getenv("NODE_INHERITED_FD"));
+        if (inherited != null && machine != null) {
+            throw new IOException("--machine can't go with NODE_INHERITED_FD: one socket has one event loop");
+        }
+        List<ClientProxy> proxies = machine == null ? List.of(ClientProxy.start(config, inherited))
                 : start(config, Machine.load(Path.of(machine)));
+        ClientProxy.operate(proxies);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             proxies.stream().map(ClientProxy::drain).toList().forEach(Future::awaitUninterruptibly);
         }));
         started.complete(proxies);
     }
 
+    /**
+     * The listening socket that the platform holds and every start inherits; null if there is none. The Java platform
+     * can take up descriptor 0 and no other.
+     */
+    private static ServerSocketChannel inherited(String descriptor) throws IOException {
+        if (descriptor == null || descriptor.isEmpty()) {
+            return null;
+        }
+        if (!descriptor.equals("0")) {
+            throw new IOException("NODE_INHERITED_FD: only descriptor 0 can be taken up, not " + descriptor);
+        }
+        if (System.inheritedChannel() instanceof ServerSocketChannel listening) {
+            return listening;
+        }
+        throw new IOException("NODE_INHERITED_FD: descriptor 0 is no listening socket");
+    }
+
     /** Starts the client proxies of a machine file; they listen on one port. */
     public static List<ClientProxy> start(Config config, Machine machine) throws Exception {
         return ClientProxy.startAll(machine.split(config, Runtime.getRuntime().maxMemory(),
--- a/src/main/java/mulleinfront/settings/Config.java
+++ b/src/main/java/mulleinfront/settings/Config.java
@@ -14,6 +14,7 @@
  * What a client proxy is told at its start.
  *
  * @param listen where clients connect
+ * @param management where operators call; null if nowhere
  * @param discovery where lists of hosts come from
  * @param seed seed of the module's random numbers
  * @param settings what the module is told
@@ -25,8 +26,8 @@
  * @param dialTimeoutUs time within which a connection must have come up
  * @param known the list of hosts as last held, perhaps old; null if there is none
  */
-public record Config(InetSocketAddress listen, InetSocketAddress discovery, long seed, Settings settings,
-        List<String> zones, List<String> kinds, List<String> tenants, int limit, int sockets, long dialTimeoutUs,
+public record Config(InetSocketAddress listen, InetSocketAddress management, InetSocketAddress discovery, long seed,
+        Settings settings, List<String> zones, List<String> kinds, List<String> tenants, int limit, int sockets, long dialTimeoutUs,
         Listing known) {
 
     /** What the program is sized for as deployed; a lower limit is kept, a higher one used only by {@link Machine}. */
@@ -51,6 +52,7 @@
 
     public static Config parse(byte[] json) throws IOException {
         InetSocketAddress listen = null;
+        InetSocketAddress management = null;
         InetSocketAddress discovery = null;
         String seed = null;
         Listing known = null;
@@ -67,6 +69,7 @@
                 }
                 switch (name) {
                     case "listen" -> listen = Listing.address(in.getText());
+                    case "management" -> management = Listing.address(in.getText());
                     case "discovery" -> discovery = Listing.address(in.getText());
                     case "seed" -> seed = in.getText();
                     case "limits" -> sockets = sockets(in);
@@ -80,7 +83,7 @@
         need(discovery, "discovery");
         need(settings, "settings");
         need(seed, "seed");
-        return new Config(listen, discovery, seed(seed), settings.toSettings(),
+        return new Config(listen, management, discovery, seed(seed), settings.toSettings(),
                 settings.names("azs"), settings.names("kinds"), settings.tenants(), sockets,
                 Math.min(MOST_SOCKETS, sockets),
                 settings.dialTimeoutUs(), known);
@@ -88,8 +91,8 @@
 
     /** The same on another port. */
     public Config on(int port) {
-        return new Config(new InetSocketAddress(listen.getAddress(), port), discovery, seed, settings, zones, kinds,
-                tenants, limit, sockets, dialTimeoutUs, known);
+        return new Config(new InetSocketAddress(listen.getAddress(), port), management, discovery, seed, settings, zones,
+                kinds, tenants, limit, sockets, dialTimeoutUs, known);
     }
 
     /** One of several client proxies in a process, each an instance to the module. */
@@ -97,7 +100,7 @@
         Settings s = settings;
         Settings shared = new Settings(s.classes(), s.tenantShares(), s.overShareWorth(), s.instances() * of,
                 s.probePrice(), s.subscribe(), s.weightsVary(), s.limits(), s.contract());
-        return new Config(listen, discovery, seed + number * SEED_STEP, shared, zones, kinds, tenants, limit,
+        return new Config(listen, management, discovery, seed + number * SEED_STEP, shared, zones, kinds, tenants, limit,
                 itsSockets, dialTimeoutUs, known);
     }
 
--- a/src/test/java/mulleinfront/LayersTest.java
+++ b/src/test/java/mulleinfront/LayersTest.java
@@ -60,6 +60,13 @@
                 .resideInAPackage("mulleinfront.benchlink..").check(MAIN);
     }
 
+    @Test
+    void theOperatorsDoorKnowsNothingOfTheClientsWire() {
+        noClasses().that().resideInAPackage("mulleinfront.manage..").should().dependOnClassesThat()
+                .resideInAnyPackage("mulleinfront.proxy..", "mulleinfront.settings..", "mulleinfront.emulator..",
+                        "mulleinfront.kit..", "mulleinfront.cli..", "io.netty.handler.codec.http..").check(MAIN);
+    }
+
     @Test
     void theEntryHoldsOnlyTheStart() {
         classes().that().haveFullyQualifiedName("mulleinfront.Main").should().onlyDependOnClassesThat(
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -81,7 +81,7 @@
     }
 
     /** The class path less what only tests bring: Netty would log by it, and say so. */
-    private static String programsOwn() {
+    static String programsOwn() {
         return Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
                 .filter(entry -> !entry.contains("slf4j")).collect(Collectors.joining(File.pathSeparator));
     }
