--- a/src/main/java/mulleinfront/Balancer.java
+++ b/src/main/java/mulleinfront/Balancer.java
@@ -36,7 +36,10 @@
     /** The client left or its time is up: nothing more is owed. Unknown ids are ignored. */
     void onRequestGone(long now, String requestId);
 
-    /** The answer of a streamed attempt has begun; the attempt now belongs to the client. */
+    /**
+     * The attempt now belongs to the client: its answer has begun, or its request is still being read. How long it
+     * takes tells nothing of the endpoint.
+     */
     void onStreamStarted(long now, String requestId, int attempt);
 
     /** An attempt ended. Unknown requests and repeated reports are ignored. */
--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -862,6 +862,8 @@
             Attempt a = r.attempts.get(number);
             a.streaming = true;
             a.node.lastAnswer = now;
+            // The work is done, or yet to come: meanwhile it takes no room from others.
+            a.node.outstanding.remove(a);
         }
     }
 
--- a/src/main/java/mulleinfront/core/Caller.java
+++ b/src/main/java/mulleinfront/core/Caller.java
@@ -2,7 +2,7 @@
 
 /**
  * Whoever waits for the final answer of one request. It is told exactly one of {@link #served},
- * {@link #refused} and {@link #failed}, unless it has said {@link Core#gone} before.
+ * {@link #begins}, {@link #refused} and {@link #failed}, unless it has said {@link Core#gone} before.
  *
  * @param <Q> a request as the wire carries it
  * @param <A> an answer as the wire brings it
@@ -14,6 +14,14 @@
     /** A host's own answer. */
     void served(A answer);
 
+    /**
+     * A host's own answer has begun and the rest comes on it: this is the final answer, and what becomes of the rest
+     * is between the two wires. Only wires that say so themselves are told ({@link Wire.End#begun}).
+     */
+    default void begins(A answer) {
+        throw new UnsupportedOperationException("no streams on this wire");
+    }
+
     /**
      * Another try is harmless: no attempt has run, or the request may run any number of times.
      *
--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -32,6 +32,8 @@
     private static final long MARGIN_US = 25_000;
     /** What the module is told ends this much earlier still, so that its own last word comes first. */
     private static final long LAST_WORD_US = 10_000;
+    /** Longest time for which a request is read while an attempt of it goes out. */
+    private static final long MOST_READING_US = 600_000_000;
 
     private final Settings settings;
     private final Time time;
@@ -46,6 +48,7 @@
     private Footprint footprint;
     private Balancer balancer;
     private Time.Timer wake;
+    private long lastAt = Long.MAX_VALUE;
 
     /** Makes the module; a test's own can do what the real one never would. */
     public interface Maker {
@@ -59,13 +62,20 @@
         private final Request request;
         private final RequestClass type;
         private final Q call;
-        private final long endAt;
+        private long endAt;
         private Time.Timer guard;
         private Wire.Attempt out;
         private int outNumber;
         private int attempts;
         private boolean mayHaveRun;
         private boolean answered;
+        /** The request is still being read; what it may take from its last byte on, microseconds. */
+        private boolean reading;
+        private long patience;
+        private long budget;
+        private long outTimeout;
+        /** Its answer has begun. The module is told nothing more of it but its end, so it can't call it off. */
+        private boolean begun;
 
         private Exchange(Caller<Q, A> caller, Request request, RequestClass type, Q call, long endAt) {
             this.caller = caller;
@@ -162,6 +172,11 @@
 
     // ---- callers -------------------------------------------------------------------------------------
 
+    /** No final answer of a request taken from now on is later than this, microseconds on the core's clock. */
+    public void endBy(long at) {
+        lastAt = at;
+    }
+
     /** Whether a request of this id is open: its id may not be used again until that is over. */
     public boolean holds(String requestId) {
         return open.containsKey(requestId);
@@ -186,23 +201,55 @@
      */
     public void take(Caller<Q, A> caller, String id, int classIndex, String key, long deadlineMs, long at,
             long expectedUs, int tenant, boolean repeat, Q call) {
+        take(caller, id, classIndex, key, deadlineMs, at, expectedUs, tenant, repeat, call, false);
+    }
+
+    /**
+     * Takes a request that may still be being read: its attempt goes out while it comes. Its time counts from its last
+     * byte, which {@link #whole} tells; until then no attempt of it can have run.
+     *
+     * @param reading whether it is
+     */
+    public void take(Caller<Q, A> caller, String id, int classIndex, String key, long deadlineMs, long at,
+            long expectedUs, int tenant, boolean repeat, Q call, boolean reading) {
         RequestClass type = settings.classes().get(classIndex);
         // Nobody waits longer than the class's own patience, so neither does a drain.
         long deadlineUs = Math.min(deadlineMs, type.deadlineUs() / 1000 + 1) * 1000;
         long patience = deadlineUs - Math.min(MARGIN_US, deadlineUs / 4);
         long budget = patience - Math.min(LAST_WORD_US, deadlineUs / 8) - (time.now() - at);
-        if (budget <= 0) {
+        // The module is told what the client said: less would look like what a repeat has left.
+        long most = lastAt - time.now();
+        if (Math.min(budget, most) <= 0) {
             caller.refused(comeBackUs());
             return;
         }
         Request request = new Request(id, classIndex, key, budget, expectedUs, tenant, repeat);
-        Exchange<Q, A> x = new Exchange<>(caller, request, type, call, time.now() + budget);
+        Exchange<Q, A> x = new Exchange<>(caller, request, type, call, time.now() + Math.min(budget, most));
         open.put(id, x);
-        x.guard = time.after(at + patience - time.now(), () -> timeUp(x));
+        x.reading = reading;
+        x.patience = patience;
+        x.budget = budget;
+        x.guard = time.after(reading ? MOST_READING_US : Math.min(at + patience - time.now(), most), () -> timeUp(x));
         caller.opened(x);
         run(() -> balancer.onRequest(time.now(), x.request));
     }
 
+    /** The last byte of a request has been read: now its time begins. */
+    public void whole(Exchange<Q, A> x) {
+        if (!x.reading || x.answered) {
+            return;
+        }
+        x.reading = false;
+        long most = Math.max(1, lastAt - time.now());
+        long left = Math.min(x.budget, most);
+        x.endAt = time.now() + left;
+        x.guard.cancel();
+        x.guard = time.after(Math.min(x.patience, most), () -> timeUp(x));
+        if (x.out != null) {
+            x.out.endWithin(x.outTimeout == 0 ? left : Math.min(left, x.outTimeout));
+        }
+    }
+
     private long comeBackUs() {
         return settings.limits().maxRetryAfterUs();
     }
@@ -239,6 +286,10 @@
                 balancer.onRequestGone(time.now(), x.request.id());
             } finally {
                 forget(x);
+                if (x.out != null && (x.begun || x.reading)) {
+                    // What belongs to the client goes with it; the module leaves it alone.
+                    x.out.cancel();
+                }
             }
         });
     }
@@ -264,25 +315,53 @@
         int number = x.attempts++;
         long sentAt = time.now();
         long left = x.endAt - sentAt;
-        boolean vain = x.answered || left <= 0 || timeoutUs < 0 || x.out != null
+        boolean vain = x.answered || left <= 0 && !x.reading || timeoutUs < 0 || x.out != null
                 || number >= settings.limits().maxAttempts();
-        Wire.Attempt made = vain ? null : wire.attempt(x.request.id(), number, hostId, x.call,
-                timeoutUs == 0 ? left : Math.min(left, timeoutUs),
-                () -> !x.answered && ready.contains(hostId),
-                (outcome, answer) -> attemptEnded(x, number, sentAt, outcome, answer));
+        long within = x.reading ? Wire.OPEN : timeoutUs == 0 ? left : Math.min(left, timeoutUs);
+        Wire.Attempt made = vain ? null : wire.attempt(x.request.id(), number, hostId, x.call, within,
+                () -> !x.answered && ready.contains(hostId), new Wire.End<>() {
+                    @Override
+                    public void ended(Outcome outcome, A answer) {
+                        attemptEnded(x, number, sentAt, outcome, answer);
+                    }
+
+                    @Override
+                    public boolean begun(A answer) {
+                        return attemptBegun(x, number, answer);
+                    }
+                });
         if (made == null) {
             ended(x, number, sentAt, Outcome.IGNORED);
             return;
         }
         x.outNumber = number;
         x.out = made;
+        x.outTimeout = timeoutUs;
+        if (x.reading) {
+            // How long it takes is the client's doing: nothing is learnt of the host from it.
+            run(() -> balancer.onStreamStarted(time.now(), x.request.id(), number));
+        }
         made.start();
     }
 
+    private boolean attemptBegun(Exchange<Q, A> x, int number, A answer) {
+        if (x.answered) {
+            return false;
+        }
+        over(x);
+        x.begun = true;
+        x.mayHaveRun = true;
+        x.caller.begins(answer);
+        run(() -> balancer.onStreamStarted(time.now(), x.request.id(), number));
+        return true;
+    }
+
     private void attemptEnded(Exchange<Q, A> x, int number, long sentAt, Outcome outcome, A answer) {
         x.out = null;
         x.mayHaveRun |= !outcome.neverRan();
-        if (outcome == Outcome.OK && !x.answered) {
+        if (x.begun) {
+            run(() -> forget(x));
+        } else if (outcome == Outcome.OK && !x.answered) {
             over(x);
             x.caller.served(answer);
             run(() -> forget(x));
--- a/src/main/java/mulleinfront/core/Wire.java
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -24,13 +24,27 @@
     /** The agent that pushes lists answers at once and at no cost: a broken watch of it is asked for after this. */
     long AGENT_AGAIN_US = 500_000;
 
+    /** No time of its own yet. */
+    long OPEN = Long.MAX_VALUE;
+
     /** Told once how an attempt or a probe ended. */
     interface End<A> {
         /**
          * @param outcome what can be vouched for: {@link Outcome#neverRan} only if that is known
-         * @param answer the host's answer if the outcome is {@link Outcome#OK}, else null
+         * @param answer the host's answer if the outcome is {@link Outcome#OK}, else null; null too if it has begun
          */
         void ended(Outcome outcome, A answer);
+
+        /**
+         * The host's answer has begun, and is passed on from here as it comes; the attempt goes on until
+         * {@link #ended} without a time of its own.
+         *
+         * @param answer what there is of it
+         * @return whether anybody takes it; if not, the attempt is to be given up
+         */
+        default boolean begun(A answer) {
+            return false;
+        }
     }
 
     /** An attempt that was made ready; it sends nothing before {@link #start}. */
@@ -40,6 +54,9 @@
 
         /** Stops waiting, which ends the attempt at once; no effect if it has ended. */
         void cancel();
+
+        /** The request has come in whole: from now on the attempt has this long, microseconds. */
+        default void endWithin(long timeoutUs) { }
     }
 
     /**
@@ -49,7 +66,8 @@
      * @param number the attempt's number, from 0
      * @param hostId a host of the list last told
      * @param request what to send
-     * @param timeoutUs time from now until the attempt ends by itself, microseconds, above 0
+     * @param timeoutUs time from now until the attempt ends by itself, microseconds, above 0; {@link #OPEN} while the
+     *        request is still being read, until {@link Attempt#endWithin}
      * @param wanted asked right before the first byte leaves: if false nothing is sent, and the attempt has
      *        ended as {@link Outcome#IGNORED}
      * @param end told once
--- a/src/main/java/mulleinfront/proxy/Call.java
+++ b/src/main/java/mulleinfront/proxy/Call.java
@@ -1,6 +1,7 @@
 package mulleinfront.proxy;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -15,8 +16,11 @@
  * A request as it goes on to a host: all that the client sent but what concerns its own connection.
  *
  * @param head its first lines, each with its end, without those that are written anew for each attempt
+ * @param body all of it, or its beginning
+ * @param rest what follows the beginning; null if nothing does
+ * @param deadlineMs what hosts are told of the time while the rest still comes, milliseconds
  */
-record Call(byte[] head, boolean statesLength, byte[] body) {
+record Call(byte[] head, boolean statesLength, byte[] body, Flow rest, long deadlineMs) {
     static final AsciiString DEADLINE = AsciiString.cached("x-deadline-ms");
 
     /** Hop-by-hop headers (RFC 9110, 7.6.1), and those that are written anew for each attempt. */
@@ -47,7 +51,12 @@
             }
         }
         return new Call(head.toString().getBytes(StandardCharsets.ISO_8859_1),
-                body.length > 0 || !method.equals("GET"), body);
+                body.length > 0 || !method.equals("GET"), body, null, 0);
+    }
+
+    /** The same with more to come. */
+    Call with(Flow more, long deadline) {
+        return new Call(head, statesLength, body, more, deadline);
     }
 
     private static boolean goesOn(String name, Set<String> named) {
@@ -61,16 +70,24 @@
     /** A probe. */
     static Call health() {
         return new Call("GET /-/healthy HTTP/1.1\r\nhost: origin.svc\r\n".getBytes(StandardCharsets.US_ASCII),
-                false, Framing.NO_BYTES);
+                false, Framing.NO_BYTES, null, 0);
     }
 
     /**
      * The whole request in one buffer, so that its write either reaches the last byte or surely did not: an
-     * encoder's head and body apart could end between the two.
+     * encoder's head and body apart could end between the two. Of one that still comes, its beginning.
      */
-    ByteBuf encode(long deadlineMs) {
-        String more = "X-Deadline-Ms: " + deadlineMs
-                + (statesLength ? "\r\nContent-Length: " + body.length + "\r\n\r\n" : "\r\n\r\n");
-        return Framing.whole(head, more, body);
+    ByteBuf encode(long leftMs) {
+        if (rest == null) {
+            String more = "X-Deadline-Ms: " + leftMs
+                    + (statesLength ? "\r\nContent-Length: " + body.length + "\r\n\r\n" : "\r\n\r\n");
+            return Framing.whole(head, more, body);
+        }
+        boolean chunked = rest.length() < 0;
+        String more = "X-Deadline-Ms: " + deadlineMs + (chunked ? "\r\nTransfer-Encoding: chunked\r\n\r\n"
+                : "\r\nContent-Length: " + rest.length() + "\r\n\r\n");
+        ByteBuf begun = Framing.whole(head, more, Framing.NO_BYTES);
+        ByteBuf first = Unpooled.wrappedBuffer(body);
+        return Unpooled.wrappedBuffer(begun, chunked ? Framing.chunk(first) : first);
     }
 }
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -52,7 +52,10 @@
     static final int OWN_SOCKETS = 48;
     /** And for each further event loop: its selector and wake-up, listener, watch, and what is not counted yet. */
     static final int LOOP_SOCKETS = 16;
-    static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null);
+    /** After SIGTERM there is time for the longest deadline, this at most, and a little more. */
+    private static final long MOST_END_US = 3_000_000;
+    private static final long LAST_US = 600_000;
+    static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null, null);
 
     private final Config config;
     private final EventLoopGroup group;
@@ -366,8 +369,13 @@
 
     // ---- clients -------------------------------------------------------------------------------------
 
-    /** Takes a request that is as the protocol says, and answers for it at once if it is not. */
-    void take(Frontend.Client client, HttpRequest in, byte[] body, long at) {
+    /**
+     * Takes a request that is as the protocol says, and answers for it at once if it is not.
+     *
+     * @param body all of it, or its beginning
+     * @param rest what follows the beginning while it comes; null if nothing does
+     */
+    void take(Frontend.Client client, HttpRequest in, byte[] body, Flow rest, long at) {
         HttpHeaders h = in.headers();
         String id = single(h, "X-Request-Id");
         Integer classIndex = classes.get(single(h, "X-Class"));
@@ -385,9 +393,21 @@
         if (key == null && h.contains("X-Key")) {
             key = String.join(",", h.getAll("X-Key"));
         }
+        Call call = Call.of(in, body);
         core.take(client, id, classIndex, key, deadlineMs, at,
                 Math.max(0, Framing.number(h.get("X-Cost-Hint"))), tenant, "1".equals(h.get("X-Retry")),
-                Call.of(in, body));
+                rest == null ? call : call.with(rest, deadlineMs), rest != null);
+    }
+
+    /** The last byte of a request that went on while it came has been read. */
+    void whole(Core.Exchange<Call, Upstream.Answer> x) {
+        core.whole(x);
+    }
+
+    /** The process is killed when the longest deadline and a little more is over: by then all is answered. */
+    void ending() {
+        long longest = config.settings().classes().stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+        core.endBy(clock.now() + Math.min(MOST_END_US, longest) + LAST_US);
     }
 
     /** The client closed its connection. */
--- a/src/main/java/mulleinfront/proxy/Framing.java
+++ b/src/main/java/mulleinfront/proxy/Framing.java
@@ -22,10 +22,11 @@
  * in the middle must not: what the two sides of it read differently hides a second request or a cut answer.
  */
 final class Framing {
+    /** The largest body that is read whole before it goes on, bytes; a larger one goes on while it comes. */
     static final int MOST_BODY = 64 * 1024;
     static final byte[] NO_BYTES = {};
     private static final HttpDecoderConfig STRICT = new HttpDecoderConfig().setStrictLineParsing(true)
-            .setAllowDuplicateContentLengths(false);
+            .setMaxChunkSize(MOST_BODY).setAllowDuplicateContentLengths(false);
 
     private Framing() {}
 
@@ -96,6 +97,21 @@
         return Unpooled.wrappedBuffer(all);
     }
 
+    /** A piece as a chunk (RFC 9112, 7.1); takes over its release. An empty one would be the end. */
+    static ByteBuf chunk(ByteBuf piece) {
+        return Unpooled.wrappedBuffer(ascii(Integer.toHexString(piece.readableBytes()) + "\r\n"), piece,
+                ascii("\r\n"));
+    }
+
+    /** The last chunk, with no trailers. */
+    static ByteBuf lastChunk() {
+        return ascii("0\r\n\r\n");
+    }
+
+    private static ByteBuf ascii(String text) {
+        return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
     /** Whether a head can be read in one way only, as HTTP/1; says nothing of a body that is yet to come. */
     static boolean sound(HttpMessage head) {
         HttpVersion version = head.protocolVersion();
@@ -123,7 +139,7 @@
 
     /** Whether a sound head states a body larger than any may be. */
     static boolean tooLong(HttpHeaders headers) {
-        return number(headers.get(HttpHeaderNames.CONTENT_LENGTH)) > MOST_BODY;
+        return number(headers.get(HttpHeaderNames.CONTENT_LENGTH)) > Flow.MOST;
     }
 
     /** A number of digits alone; -1 if it is none: no sign, no fraction, no list, nothing that overflows. */
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -75,6 +76,10 @@
     private static final long SENT_AWAY_MS = 400;
     /** Time for a head from its first byte, and for a body from one piece to the next. */
     private static final long HEAD_MS = 2_600;
+    /** A body or an answer that goes on while it comes ends when nothing of it has moved for this long. */
+    private static final long STALLED_MS = 10_000;
+    /** How long what a client still sends is read and dropped after its answer, so that a reset does not undo that. */
+    private static final long LINGER_MS = 1_000;
     /** A kit of another version must not judge this one. */
     private static final String VERSION = Version.HEADER + ": " + Version.OWN + "\r\n";
 
@@ -84,6 +89,8 @@
     private final int mostClients;
     /** Connections without an open request, the longest quiet first. */
     private final LinkedHashSet<Client> quiet = new LinkedHashSet<>();
+    /** Those whose request or answer is going on while it comes. */
+    private final LinkedHashSet<Client> flowing = new LinkedHashSet<>();
     private long held;
     private final Standing standing;
     private Channel server;
@@ -126,6 +133,7 @@
                 .childOption(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Upstream.WAITING)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
@@ -186,6 +194,9 @@
                 c.tooLong();
             }
         }
+        for (Client c : flowing.toArray(Client[]::new)) {
+            c.endIfStalled(now);
+        }
     }
 
     int port() {
@@ -198,6 +209,7 @@
      */
     void drain(Runnable done) {
         standing.ending();
+        proxy.ending();
         loop.schedule(() -> {
             if (server != null) {
                 server.close();
@@ -216,9 +228,13 @@
         private final Channel channel;
         private final ArrayDeque<Ahead> ahead = new ArrayDeque<>();
         private int aheadBytes;
+        /** The rest of the open request, and of its answer, while they go on as they come. */
+        private Flow upload;
+        private Flow download;
         /** The request being read, its body so far, and whether the client waits to be told to send it. */
         private HttpRequest head;
         private ByteBuf body;
+        private long bodyBytes;
         private boolean expects;
         /** Set by what can't be read: nothing after it is. */
         private boolean lost;
@@ -226,6 +242,7 @@
         private boolean pumping;
         private boolean peeking;
         private boolean keepAlive;
+        private boolean old;
         /** When the connection last made progress: an answer was given or a byte of a request read. */
         private long quietAt;
         /** When the first byte of the request being read came; 0 if nothing of one has. */
@@ -248,6 +265,8 @@
             if (quiet.remove(this)) {
                 quietAt = now;
                 quiet.add(this);
+            } else if (upload != null) {
+                quietAt = now;
             }
         }
 
@@ -296,6 +315,7 @@
             } else {
                 head = request;
                 body = null;
+                bodyBytes = 0;
                 goAhead();
             }
         }
@@ -313,21 +333,94 @@
             if (!more.isReadable()) {
                 return;
             }
-            body = body == null ? Upstream.BUFFERS.buffer(more.readableBytes()) : body;
-            if (body.readableBytes() + more.readableBytes() > Framing.MOST_BODY) {
-                unreadable(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            bodyBytes += more.readableBytes();
+            if (bodyBytes > Flow.MOST) {
+                tooMuch();
+            } else if (upload != null) {
+                upload.put(more.retain());
             } else {
+                body = body == null ? Upstream.BUFFERS.buffer(more.readableBytes()) : body;
                 hold(more.readableBytes());
                 body.writeBytes(more);
+                goOn();
             }
         }
 
-        private void end() {
+        /** A body that only shows how large it is as it comes: its request has not come in whole, so none has run. */
+        private void tooMuch() {
+            if (upload == null) {
+                unreadable(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            } else {
+                giveUp(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+            }
+        }
+
+        /** Once it is its turn, a body that is too large to be held goes on while it comes. */
+        private void goOn() {
+            if (!busy && head != null && body != null && body.readableBytes() > Framing.MOST_BODY
+                    && ahead.isEmpty()) {
+                byte[] first = takeBody();
+                hold(-first.length);
+                upload = new Flow(Framing.number(head.headers().get(HttpHeaderNames.CONTENT_LENGTH)), this::readFlow);
+                flowing.add(this);
+                handle(new Ahead(head, first, proxy.now(), null), upload);
+            }
+        }
+
+        /** Reading follows whoever takes the body. */
+        private void readFlow(boolean on) {
+            channel.config().setAutoRead(on);
+            quietAt = System.nanoTime();
+        }
+
+        private byte[] takeBody() {
             byte[] whole = body == null ? Framing.NO_BYTES : new byte[body.readableBytes()];
             if (body != null) {
                 body.readBytes(whole);
                 body = null;
             }
+            return whole;
+        }
+
+        private void endUpload() {
+            Flow ended = upload;
+            upload = null;
+            head = null;
+            startedAt = 0;
+            if (download == null) {
+                flowing.remove(this);
+            }
+            if (exchange != null) {
+                proxy.whole(exchange);
+            }
+            ended.end(true);
+            readOn();
+        }
+
+        /** Ends an open request whose client does not do its part. */
+        private void giveUp(HttpResponseStatus status) {
+            Core.Exchange<Call, Upstream.Answer> x = exchange;
+            answer(status);
+            if (x != null) {
+                proxy.gone(x);
+            }
+        }
+
+        private void endIfStalled(long now) {
+            long still = TimeUnit.NANOSECONDS.toMillis(now - quietAt);
+            if (upload != null && download == null && channel.config().isAutoRead() && still > QUIET_MS) {
+                giveUp(HttpResponseStatus.REQUEST_TIMEOUT);
+            } else if (still > STALLED_MS) {
+                channel.close();
+            }
+        }
+
+        private void end() {
+            if (upload != null) {
+                endUpload();
+                return;
+            }
+            byte[] whole = takeBody();
             HttpRequest request = head;
             head = null;
             startedAt = 0;
@@ -350,9 +443,12 @@
 
         /** Reading stops while enough waits. Only a read shows that a client left: one is made at times. */
         private void readOn() {
+            if (upload != null) {
+                return;
+            }
             boolean enough = busy && !lost && (ahead.size() >= MOST_AHEAD
                     || aheadBytes >= MOST_AHEAD_BYTES || held >= MOST_HELD);
-            channel.config().setAutoRead(!enough && !deaf);
+            channel.config().setAutoRead(!enough && (!deaf || startedAt != 0 || lost));
             if (enough && !peeking) {
                 peeking = true;
                 loop.schedule(this::peek, PEEK_MS, TimeUnit.MILLISECONDS);
@@ -362,7 +458,7 @@
         private void peek() {
             peeking = false;
             if (channel.isActive()) {
-                if (aheadBytes < 2 * MOST_AHEAD_BYTES && held < MOST_HELD) {
+                if (aheadBytes < 2 * MOST_AHEAD_BYTES && held < MOST_HELD && upload == null) {
                     channel.read();
                 }
                 readOn();
@@ -380,18 +476,20 @@
             while (!busy && !ahead.isEmpty() && channel.isActive()) {
                 Ahead next = ahead.poll();
                 hold(-next.body().length);
-                handle(next);
+                handle(next, null);
             }
             pumping = false;
             goAhead();
+            goOn();
             readOn();
         }
 
-        private void handle(Ahead next) {
+        private void handle(Ahead next, Flow rest) {
             busy = true;
             quiet.remove(this);
             HttpRequest in = next.head();
             keepAlive = in != null && HttpUtil.isKeepAlive(in);
+            old = in != null && in.protocolVersion().equals(HttpVersion.HTTP_1_0);
             int query = in == null ? -1 : in.uri().indexOf('?');
             String path = in == null ? "" : query < 0 ? in.uri() : in.uri().substring(0, query);
             if (in == null) {
@@ -402,7 +500,7 @@
             } else if (!path.equals("/api") && !path.startsWith("/api/")) {
                 answer(HttpResponseStatus.NOT_FOUND);
             } else {
-                proxy.take(this, in, next.body(), next.at());
+                proxy.take(this, in, next.body(), rest, next.at());
             }
         }
 
@@ -417,6 +515,85 @@
             answer(HttpResponseStatus.OK, answer, 0);
         }
 
+        /** The rest goes on at the client's pace; where it breaks off, so does the connection, before any end of it. */
+        @Override
+        public void begins(Upstream.Answer answer) {
+            boolean last = isLast();
+            boolean chunked = answer.rest().length() < 0 && !old;
+            boolean untilClose = answer.rest().length() < 0 && old;
+            Flow rest = answer.rest();
+            download = rest;
+            flowing.add(this);
+            quietAt = System.nanoTime();
+            ByteBuf first = Unpooled.wrappedBuffer(answer.body());
+            channel.writeAndFlush(Unpooled.wrappedBuffer(Framing.whole(Framing.NO_BYTES, head(HttpResponseStatus.OK,
+                    chunked ? "transfer-encoding: chunked\r\n" : untilClose ? ""
+                    : "content-length: " + rest.length() + "\r\n", answer, 0, "", last || untilClose),
+                    Framing.NO_BYTES), chunked && first.isReadable() ? Framing.chunk(first) : first));
+            rest.to(new Flow.Sink() {
+                @Override
+                public void piece(ByteBuf piece) {
+                    quietAt = System.nanoTime();
+                    channel.writeAndFlush(chunked ? Framing.chunk(piece) : piece);
+                    if (!channel.isWritable()) {
+                        rest.want(false);
+                    }
+                }
+
+                @Override
+                public void end(boolean whole) {
+                    download = null;
+                    exchange = null;
+                    if (upload == null) {
+                        flowing.remove(Client.this);
+                    }
+                    if (!whole) {
+                        cutOff();
+                        return;
+                    }
+                    stopUpload();
+                    boolean close = last || untilClose || lost;
+                    hush();
+                    channel.writeAndFlush(chunked ? Framing.lastChunk() : Unpooled.EMPTY_BUFFER)
+                            .addListener(written -> next(close || !written.isSuccess()));
+                }
+            });
+        }
+
+        /** A reset, which no client can take for the end of an answer. */
+        private void cutOff() {
+            if (channel.isOpen()) {
+                ((SocketChannel) channel).config().setSoLinger(0);
+            }
+            channel.close();
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (download != null) {
+                quietAt = System.nanoTime();
+                download.want(channel.isWritable());
+            }
+        }
+
+        /** Its request is answered before it has come in whole: nothing more of this connection can be read. */
+        private boolean stopUpload() {
+            if (upload == null) {
+                return false;
+            }
+            Flow cut = upload;
+            upload = null;
+            head = null;
+            lost = true;
+            flowing.remove(this);
+            cut.stop();
+            return true;
+        }
+
+        private boolean isLast() {
+            return !keepAlive || standing.sendsAway() && ahead.isEmpty();
+        }
+
         @Override
         public void refused(long retryAfterUs) {
             answer(HttpResponseStatus.SERVICE_UNAVAILABLE, ClientProxy.NO_BODY, retryAfterUs);
@@ -438,25 +615,42 @@
 
         private void answer(HttpResponseStatus status, Upstream.Answer what, long retryAfterUs, String lines) {
             exchange = null;
-            boolean last = !keepAlive || standing.sendsAway() && ahead.isEmpty();
+            boolean cut = stopUpload();
+            boolean last = isLast() || cut;
             ByteBuf out = encode(status, what, retryAfterUs, lines, last);
             hush();
             channel.writeAndFlush(out).addListener(written -> {
-                if (last || !written.isSuccess()) {
-                    channel.close();
+                if (cut && written.isSuccess() && channel.isActive()) {
+                    ((SocketChannel) channel).shutdownOutput();
+                    channel.config().setAutoRead(true);
+                    loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
                 } else {
-                    busy = false;
-                    pump();
+                    next(last || !written.isSuccess());
                 }
             });
         }
 
+        /** The final answer is written: what was sent ahead has its turn. */
+        private void next(boolean close) {
+            if (close) {
+                channel.close();
+            } else {
+                busy = false;
+                pump();
+            }
+        }
+
         /** One buffer and one write; what a host said of its type was checked when it was read. */
         private static ByteBuf encode(HttpResponseStatus status, Upstream.Answer what, long retryAfterUs,
                 String lines, boolean last) {
+            return Framing.whole(Framing.NO_BYTES, head(status, "content-length: " + what.body().length + "\r\n", what,
+                    retryAfterUs, lines, last), what.body());
+        }
+
+        private static String head(HttpResponseStatus status, String length, Upstream.Answer what, long retryAfterUs,
+                String lines, boolean last) {
             StringBuilder head = new StringBuilder(160).append("HTTP/1.1 ").append(status.codeAsText()).append(' ')
-                    .append(status.reasonPhrase()).append("\r\ncontent-length: ").append(what.body().length)
-                    .append("\r\n");
+                    .append(status.reasonPhrase()).append("\r\n").append(length);
             if (what.contentType() != null) {
                 head.append("content-type: ").append(what.contentType()).append("\r\n");
             }
@@ -464,8 +658,7 @@
                 head.append("retry-after: ").append(BigDecimal.valueOf(retryAfterUs, 6).stripTrailingZeros()
                         .toPlainString()).append("\r\n");
             }
-            head.append(lines).append(last ? "connection: close\r\n\r\n" : "\r\n");
-            return Framing.whole(Framing.NO_BYTES, head.toString(), what.body());
+            return head.append(lines).append(last ? "connection: close\r\n\r\n" : "\r\n").toString();
         }
 
         /** From here on the connection is quiet: also one whose client does not read its answer. */
@@ -490,9 +683,9 @@
             }
         }
 
-        /** Nothing more is read; what is open has its answer first. */
+        /** Nothing more is read but a request that has begun; what is open has its answer first. */
         private void lastCall() {
-            if (busy) {
+            if (busy || startedAt != 0) {
                 readOn();
             } else {
                 channel.close();
@@ -505,6 +698,15 @@
             ahead.clear();
             held -= aheadBytes;
             aheadBytes = 0;
+            flowing.remove(this);
+            if (upload != null) {
+                upload.end(false);
+                upload = null;
+            }
+            if (download != null) {
+                download.stop();
+                download = null;
+            }
             if (exchange != null) {
                 proxy.gone(exchange);
             }
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -2,14 +2,17 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpContent;
@@ -52,6 +55,10 @@
     private static final long LEAST_IDLE_NANOS = 100_000_000;
     private static final double IDLE_CUT = 0.8;
     private static final double IDLE_GROW = 1.1;
+    /** An answer of unknown length is passed on as it comes if it is not whole this long after its first bytes. */
+    private static final long BEGIN_MS = 30;
+    /** What may wait to be written on a connection before the other one is read no further, bytes. */
+    static final WriteBufferWaterMark WAITING = new WriteBufferWaterMark(16 * 1024, 48 * 1024);
 
     /** Buffers count as heap, which is bounded once and for all, and need no pool at this traffic. */
     static final UnpooledByteBufAllocator BUFFERS = new UnpooledByteBufAllocator(false);
@@ -81,6 +88,7 @@
         this.bootstrap = new Bootstrap().group(loop)
                 .option(ChannelOption.ALLOCATOR, BUFFERS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WAITING)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1000));
     }
 
@@ -108,15 +116,24 @@
         }
     }
 
-    /** A host's 200. */
-    record Answer(byte[] body, String contentType) {}
+    /**
+     * A host's 200.
+     *
+     * @param body all of it, or its beginning
+     * @param rest what follows the beginning; null if nothing does
+     */
+    record Answer(byte[] body, String contentType, Flow rest) {}
 
     /**
-     * An attempt, to be started at once.
+     * An attempt, to be started at once; null if the request can't be sent from its beginning.
      *
      * @param wanted whether it may still be sent
      */
     Attempt attempt(Host host, Call call, long timeoutUs, BooleanSupplier wanted, Wire.End<Answer> end) {
+        if (call.rest() != null && call.rest().given()) {
+            // Part of the body has gone to another host and is not kept.
+            return null;
+        }
         return new Attempt(host, call, timeoutUs, wanted, end);
     }
 
@@ -155,10 +172,10 @@
     final class Attempt implements Wire.Attempt {
         private final Host host;
         private final Call call;
-        private final long endNanos;
+        private long endNanos;
         private final BooleanSupplier wanted;
         private final Wire.End<Answer> end;
-        private final ScheduledFuture<?> timer;
+        private ScheduledFuture<?> timer;
         private ChannelFuture connecting;
         private Connection connection;
         private ChannelFuture written;
@@ -172,8 +189,17 @@
             this.call = call;
             this.wanted = wanted;
             this.end = end;
-            this.endNanos = System.nanoTime() + timeoutUs * 1000;
-            this.timer = loop.schedule(() -> abandon(Outcome.TIMED_OUT), timeoutUs, TimeUnit.MICROSECONDS);
+            if (timeoutUs != Wire.OPEN) {
+                endWithin(timeoutUs);
+            }
+        }
+
+        @Override
+        public void endWithin(long timeoutUs) {
+            if (!over && timer == null) {
+                endNanos = System.nanoTime() + timeoutUs * 1000;
+                timer = loop.schedule(() -> abandon(Outcome.TIMED_OUT), timeoutUs, TimeUnit.MICROSECONDS);
+            }
         }
 
         @Override
@@ -232,8 +258,12 @@
             c.current = this;
             long leftMs = Math.max(1, (endNanos - System.nanoTime()) / 1_000_000);
             writtenAt = System.nanoTime();
-            written = c.channel.writeAndFlush(call.encode(leftMs));
-            written.addListener(f -> {
+            ChannelFuture first = c.channel.writeAndFlush(call.encode(leftMs));
+            written = call.rest() == null ? first : c.channel.newPromise();
+            first.addListener(f -> {
+                if (f.isSuccess() && !over && connection == c && call.rest() != null) {
+                    passOn(c);
+                }
                 if (f.isSuccess() || over) {
                     return;
                 }
@@ -247,6 +277,45 @@
             });
         }
 
+        /** The rest of a request as it comes: it has been written whole when its last piece has. */
+        private void passOn(Connection c) {
+            Flow rest = call.rest();
+            boolean chunked = rest.length() < 0;
+            c.upload = rest;
+            rest.to(new Flow.Sink() {
+                @Override
+                public void piece(ByteBuf piece) {
+                    if (over) {
+                        piece.release();
+                        return;
+                    }
+                    c.channel.writeAndFlush(chunked ? Framing.chunk(piece) : piece);
+                    if (!c.channel.isWritable()) {
+                        rest.want(false);
+                    }
+                }
+
+                /** If the client went away the core calls this off. */
+                @Override
+                public void end(boolean whole) {
+                    c.upload = null;
+                    if (whole && !over) {
+                        c.channel.writeAndFlush(chunked ? Framing.lastChunk() : Unpooled.EMPTY_BUFFER,
+                                (ChannelPromise) written);
+                        writtenAt = System.nanoTime();
+                    }
+                }
+            });
+        }
+
+        /** Whether somebody takes what there is of the answer; from here on time does not end it. */
+        private boolean begin(Answer answer) {
+            if (timer != null) {
+                timer.cancel(false);
+            }
+            return end.begun(answer);
+        }
+
         /** Stops waiting: the connection goes with the attempt, so that the host stops too. */
         @Override
         public void cancel() {
@@ -275,6 +344,7 @@
         private void release() {
             if (connection != null) {
                 connection.current = null;
+                connection.cut();
                 connection.close();
                 connection = null;
                 written = null;
@@ -289,7 +359,9 @@
                 return;
             }
             over = true;
-            timer.cancel(false);
+            if (timer != null) {
+                timer.cancel(false);
+            }
             release();
             end.ended(outcome, answer);
         }
@@ -318,6 +390,11 @@
         private boolean reusable = true;
         private Outcome outcome;
         private Answer answer;
+        /** The rest of the request that goes out here; null if there is none or it is out. */
+        private Flow upload;
+        /** The rest of the answer, once that is passed on as it comes. */
+        private Flow download;
+        private long bodyBytes;
 
         /** What comes while nothing is asked belongs to no request, read to its end or not. */
         private final Framing.ResponseDecoder decoder = new Framing.ResponseDecoder() {
@@ -380,26 +457,89 @@
                 }
             }
             if (in instanceof HttpContent content && head.status().code() >= 200) {
-                if (body.readableBytes() + content.content().readableBytes() > Framing.MOST_BODY) {
-                    spoilt();
-                    return;
-                }
-                body.writeBytes(content.content());
-                if (in instanceof LastHttpContent) {
+                append(content.content());
+                if (in instanceof LastHttpContent && outcome == null && current != null) {
                     whole();
                 }
             }
         }
 
+        /** Keeps an answer whole up to a size, or passes it on as it comes. */
+        private void append(ByteBuf more) {
+            bodyBytes += more.readableBytes();
+            if (bodyBytes > Flow.MOST || head.status().code() != 200 && bodyBytes > Framing.MOST_BODY) {
+                spoilt();
+                return;
+            }
+            if (download == null) {
+                long stated = Framing.number(head.headers().get(HttpHeaderNames.CONTENT_LENGTH));
+                if (stated > Framing.MOST_BODY || body.readableBytes() + more.readableBytes() > Framing.MOST_BODY) {
+                    begin();
+                } else {
+                    if (stated < 0 && body.readableBytes() == 0 && more.isReadable()) {
+                        // Nobody knows how much there is: a slow one's first bytes are not kept for its last.
+                        Attempt of = current;
+                        loop.schedule(() -> beginIfSlow(of), BEGIN_MS, TimeUnit.MILLISECONDS);
+                    }
+                    body.writeBytes(more);
+                    return;
+                }
+            }
+            if (download != null) {
+                download.put(more.retain());
+            }
+        }
+
+        private void beginIfSlow(Attempt of) {
+            if (current == of && outcome == null && download == null && body.isReadable()) {
+                begin();
+            }
+        }
+
+        private void begin() {
+            byte[] first = new byte[body.readableBytes()];
+            body.readBytes(first);
+            Flow rest = new Flow(Framing.number(head.headers().get(HttpHeaderNames.CONTENT_LENGTH)),
+                    on -> channel.config().setAutoRead(on));
+            download = rest;
+            Attempt of = current;
+            if (!of.begin(new Answer(first, head.headers().get(HttpHeaderNames.CONTENT_TYPE), rest)) && !of.over) {
+                of.cancel();
+            }
+        }
+
+        /** The attempt ends here and now: whoever takes its answer learns that there is no more of it. */
+        private void cut() {
+            if (download != null) {
+                Flow cut = download;
+                download = null;
+                cut.end(false);
+            }
+            if (upload != null) {
+                Flow left = upload;
+                upload = null;
+                left.stop();
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (upload != null) {
+                upload.want(channel.isWritable());
+            }
+        }
+
         private void begin(HttpResponse response) {
             head = response;
             int status = response.status().code();
             boolean interimToo = status < 200 && status != 101 && ++interim <= MOST_INTERIM;
-            boolean stated = Framing.statesLength(response.headers());
+            bodyBytes = 0;
+            // An answer may also end with its connection, if it says that this ends (RFC 9112, 6.3).
+            boolean stated = Framing.statesLength(response.headers()) || !HttpUtil.isKeepAlive(response);
             if (!Framing.sound(response) || Framing.tooLong(response.headers())
                     || status < 200 && !interimToo || status == 200 && !stated) {
                 spoilt();
-            } else if (status > 200 && !stated) {
+            } else if (status > 200 && !Framing.statesLength(response.headers())) {
                 whole();
                 reusable = false;
             }
@@ -408,6 +548,7 @@
         private void spoilt() {
             outcome = Outcome.FAILED;
             reusable = false;
+            cut();
         }
 
         /** Keeps the answer until the read is over: what follows it unasked ends the connection. */
@@ -416,10 +557,14 @@
             boolean notRun = (status == 503 || status == 504) && "1".equals(head.headers().get("X-Not-Run"));
             outcome = status == 200 ? Outcome.OK : notRun ? Outcome.QUEUE_FULL : Outcome.FAILED;
             reusable = HttpUtil.isKeepAlive(head) && current.written.isSuccess();
-            if (status == 200) {
+            if (download != null) {
+                Flow done = download;
+                download = null;
+                done.end(true);
+            } else if (status == 200) {
                 byte[] bytes = new byte[body.readableBytes()];
                 body.readBytes(bytes);
-                answer = new Answer(bytes, head.headers().get(HttpHeaderNames.CONTENT_TYPE));
+                answer = new Answer(bytes, head.headers().get(HttpHeaderNames.CONTENT_TYPE), null);
             }
         }
 
@@ -439,6 +584,12 @@
             answer = null;
             interim = 0;
             body.clear();
+            if (upload != null) {
+                // Answered before its end: the rest has nowhere to go.
+                reusable = false;
+                cut();
+            }
+            channel.config().setAutoRead(true);
             if (reusable && !decoder.holdsMore() && host.ready && channel.isActive()) {
                 idleAt = System.nanoTime();
                 host.resting.add(this);
