An address in use for a moment is waited for: a restart no longer ends with 1

Which socket held the address was not found: closing and binding anew 300 times with connections open never failed. Now it is tried for 3 s and said in the log.

--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -13,6 +13,7 @@
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
 import java.util.ArrayList;
@@ -24,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import mulleinfront.Balancer;
 import mulleinfront.Balancer.Effect;
@@ -55,6 +57,9 @@
     /** After SIGTERM there is time for the longest deadline, this at most, and a little more. */
     private static final long MOST_END_US = 3_000_000;
     private static final long LAST_US = 600_000;
+    /** How long an address may be in use by another before that is an error, and how often it is tried. */
+    private static final long BIND_MS = 3_000;
+    private static final long BIND_AGAIN_MS = 20;
     static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null, null);
 
     private final Config config;
@@ -199,8 +204,8 @@
         try {
             ClientProxy proxy = new ClientProxy(config, group);
             proxy.core.begin((settings, seed, now, actions) -> Rehearsal.module(actions), 0);
-            bound(proxy.loop.submit(() -> proxy.frontend.listen(at, false,
-                    held ? proxy.new Operated(List.of(proxy)) : null)).get(), at);
+            proxy.bound(() -> proxy.frontend.listen(at, false,
+                    held ? proxy.new Operated(List.of(proxy)) : null), at);
             proxy.loop.submit(() -> {
                 proxy.discovery.take(Rehearsal.self(at.getAddress(), proxy.port()), Source.FULL);
                 // What listens is no client proxy, whatever its list says.
@@ -225,8 +230,7 @@
             proxy.loop.submit(() -> proxy.begin(maker, inherited)).get();
             if (inherited == null) {
                 // Ephemeral ports are for tests: what it is bound to is known only now.
-                bound(proxy.loop.submit(() -> proxy.frontend.listen(config.listen(), shared, null)).get(),
-                        config.listen());
+                proxy.bound(() -> proxy.frontend.listen(config.listen(), shared, null), config.listen());
                 proxy.standing.listening();
             }
             System.err.println("mulleinfront: listening on "
@@ -238,13 +242,27 @@
         }
     }
 
-    private static Channel bound(ChannelFuture binding, InetSocketAddress address) throws Exception {
-        binding.await();
-        if (!binding.isSuccess()) {
-            throw new IOException("can't listen on " + NetUtil.toSocketAddressString(address) + ": "
-                    + binding.cause().getMessage());
+    /**
+     * Listens, also where the address is in use for another moment: at a restart by the process before, say. One that
+     * ended because of it would be a crash.
+     */
+    private Channel bound(Supplier<ChannelFuture> listen, InetSocketAddress address) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(BIND_MS);
+        for (boolean first = true;; first = false) {
+            ChannelFuture binding = loop.submit(listen::get).get().await();
+            if (binding.isSuccess()) {
+                return binding.channel();
+            }
+            String why = "can't listen on " + NetUtil.toSocketAddressString(address) + ": "
+                    + binding.cause().getMessage();
+            if (!(binding.cause() instanceof BindException) || System.nanoTime() > end) {
+                throw new IOException(why);
+            }
+            if (first) {
+                System.err.println("mulleinfront: " + why + "; trying on");
+            }
+            Thread.sleep(BIND_AGAIN_MS);
         }
-        return binding.channel();
     }
 
     /** Takes up the inherited socket once there is a list: until then its clients wait for whoever else has it. */
@@ -266,8 +284,8 @@
         InetSocketAddress at = first.config.management();
         if (at != null) {
             Operated process = first.new Operated(proxies);
-            first.management = bound(first.loop.submit(() -> ManagementServer.listen(first.loop, at, Upstream.BUFFERS,
-                    new Calls(process))).get(), at);
+            first.management = first.bound(() -> ManagementServer.listen(first.loop, at, Upstream.BUFFERS,
+                    new Calls(process)), at);
         }
     }
 
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -100,6 +100,7 @@
     private long held;
     private final Standing standing;
     private Channel server;
+    private boolean sweeping;
     private boolean deaf;
     private long mostEndNanos;
 
@@ -133,7 +134,10 @@
     }
 
     private ServerBootstrap bootstrap(Calls.Process door) {
-        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        if (!sweeping) {
+            sweeping = true;
+            loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        }
         return new ServerBootstrap().group(loop)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .option(ChannelOption.SO_BACKLOG, 1024)
--- a/src/test/java/mulleinfront/proxy/OperatedTest.java
+++ b/src/test/java/mulleinfront/proxy/OperatedTest.java
@@ -97,6 +97,7 @@
         assertEquals("last", out.read().text());
         assertTrue(end.await(Peers.PATIENCE_S, java.util.concurrent.TimeUnit.SECONDS));
         assertEquals(0, host.seen.size(), "nothing else was sent");
+        proxy = null;
     }
 
     @Test
