--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -606,8 +606,9 @@
             return true;
         }
 
+        /** In a crowd nobody keeps what others wait for: clients may hold only so many connections as well. */
         private boolean isLast() {
-            return !keepAlive || standing.sendsAway() && ahead.isEmpty();
+            return !keepAlive || ahead.isEmpty() && (standing.sendsAway() || clients.size() > mostClients / 2);
         }
 
         @Override
--- a/src/test/java/mulleinfront/proxy/BadClientsTest.java
+++ b/src/test/java/mulleinfront/proxy/BadClientsTest.java
@@ -1,6 +1,7 @@
 package mulleinfront.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -265,4 +266,23 @@
             assertEquals(id, client.read().text());
         }
     }
+
+    @Test
+    void inACrowdAnAnswerIsTheLastOfItsConnection() throws Exception {
+        // 160 descriptors leave room for 56 clients: with more than half of that it is a crowd.
+        Server host = host(s -> s.served("x"));
+        start("", Peers.host("s", host.address(), "in_service"));
+        module.onRequest = r -> module.actions.send(r.id(), "s", 0);
+        Client kept = client();
+        assertNull(kept.unsafe("a", 20_000).read().header("connection"));
+        for (int i = 0; i < 40; i++) {
+            client();
+        }
+        // Whoever connects later is accepted later: then all of the crowd are.
+        Client late = client();
+        assertEquals("close", late.unsafe("b", 20_000).read().header("connection"));
+        assertTrue(late.closed());
+        assertEquals("close", kept.unsafe("c", 20_000).read().header("connection"));
+        assertTrue(kept.closed());
+    }
 }
