--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -201,10 +201,11 @@
             return;
         }
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        Channel listener = null;
         try {
             ClientProxy proxy = new ClientProxy(config, group);
             proxy.core.begin((settings, seed, now, actions) -> Rehearsal.module(actions), 0);
-            proxy.bound(() -> proxy.frontend.listen(at, false,
+            listener = proxy.bound(() -> proxy.frontend.listen(at, false,
                     held ? proxy.new Operated(List.of(proxy)) : null), at);
             proxy.loop.submit(() -> {
                 proxy.discovery.take(Rehearsal.self(at.getAddress(), proxy.port()), Source.FULL);
@@ -214,6 +215,10 @@
                         config.settings().classes().get(0)).next();
             }).get().await();
         } finally {
+            if (listener != null) {
+                // By the loop while it runs: the address is wanted at once.
+                listener.close().await();
+            }
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
         }
     }
