A client that leaves after its upload's last byte takes its attempt along

Cause: what the module leaves alone was told by 'answer begun or request still read'; an upload that had come in whole is neither, so its attempt went on after the client. Now one flag stands where the module is told, for both cases. Test: a module that leaves it alone. No other behaviour changes.

--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -74,8 +74,10 @@
         private long patience;
         private long budget;
         private long outTimeout;
-        /** Its answer has begun. The module is told nothing more of it but its end, so it can't call it off. */
+        /** Its answer has begun. */
         private boolean begun;
+        /** The attempt that is out is the client's by the module's word, which leaves it alone from then on. */
+        private boolean streaming;
 
         private Exchange(Caller<Q, A> caller, Request request, RequestClass type, Q call, long endAt) {
             this.caller = caller;
@@ -286,8 +288,8 @@
                 balancer.onRequestGone(time.now(), x.request.id());
             } finally {
                 forget(x);
-                if (x.out != null && (x.begun || x.reading)) {
-                    // What belongs to the client goes with it; the module leaves it alone.
+                if (x.out != null && x.streaming) {
+                    // What belongs to the client goes with it.
                     x.out.cancel();
                 }
             }
@@ -337,9 +339,10 @@
         x.outNumber = number;
         x.out = made;
         x.outTimeout = timeoutUs;
+        x.streaming = false;
         if (x.reading) {
             // How long it takes is the client's doing: nothing is learnt of the host from it.
-            run(() -> balancer.onStreamStarted(time.now(), x.request.id(), number));
+            streams(x, number);
         }
         made.start();
     }
@@ -352,10 +355,15 @@
         x.begun = true;
         x.mayHaveRun = true;
         x.caller.begins(answer);
-        run(() -> balancer.onStreamStarted(time.now(), x.request.id(), number));
+        streams(x, number);
         return true;
     }
 
+    private void streams(Exchange<Q, A> x, int number) {
+        x.streaming = true;
+        run(() -> balancer.onStreamStarted(time.now(), x.request.id(), number));
+    }
+
     private void attemptEnded(Exchange<Q, A> x, int number, long sentAt, Outcome outcome, A answer) {
         x.out = null;
         x.mayHaveRun |= !outcome.neverRan();
--- a/src/test/java/mulleinfront/core/CoreTest.java
+++ b/src/test/java/mulleinfront/core/CoreTest.java
@@ -37,6 +37,7 @@
     private Consumer<Request> onRequest = r -> { };
     private Consumer<AttemptEnd> onEnd = e -> { };
     private Actions module;
+    private boolean cancels = true;
     private Core.Exchange<String, String> exchange;
     private final Core<String, String> core = new Core<>(settings(), time, new ScriptedWire(), defects::add);
 
@@ -151,7 +152,9 @@
         @Override
         public void onRequestGone(long now, String requestId) {
             log.add("gone " + requestId);
-            module.cancel(requestId, 0);
+            if (cancels) {
+                module.cancel(requestId, 0);
+            }
         }
 
         @Override
@@ -279,6 +282,17 @@
         nothingFollows();
     }
 
+    @Test
+    void soItDoesOnceItHasComeInWholeThoughTheModuleLeavesItAlone() {
+        cancels = false;
+        takeReading(UNSAFE);
+        core.whole(exchange);
+        log.clear();
+        core.gone(exchange);
+        said("gone r", "cancelled r/0@h", "ended 0 CANCELED done");
+        nothingFollows();
+    }
+
     @Test
     void anAnswerThatHasBegunIsTheFinalOneHoweverItEnds() {
         for (Outcome outcome : List.of(Outcome.OK, Outcome.RESET, Outcome.FAILED)) {
