--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -165,7 +165,6 @@
      *        accepted on it before there is a list to serve by; null to listen there anew
      */
     public static ClientProxy start(Config config, ServerSocketChannel inherited) throws Exception {
-        Rehearsal.decide(config.settings());
         rehearse(config, inherited != null);
         return start(config, Balancer::create, false, inherited);
     }
@@ -175,7 +174,6 @@
      * port: the system gives each new connection to one of them. Each counts as an instance to its module.
      */
     public static List<ClientProxy> startAll(List<Config> configs) throws Exception {
-        Rehearsal.decide(configs.get(0).settings());
         rehearse(configs.get(0), false);
         List<ClientProxy> all = new ArrayList<>();
         try {
@@ -196,6 +194,10 @@
      *        that it starts
      */
     private static void rehearse(Config config, boolean held) throws Exception {
+        if (!Rehearsal.pays(config)) {
+            return;
+        }
+        Rehearsal.decide(config.settings());
         InetSocketAddress at = held ? config.management() : config.listen();
         if (at == null) {
             return;
--- a/src/main/java/mulleinfront/proxy/Rehearsal.java
+++ b/src/main/java/mulleinfront/proxy/Rehearsal.java
@@ -20,6 +20,7 @@
 import mulleinfront.Balancer.RequestClass;
 import mulleinfront.Balancer.Source;
 import mulleinfront.core.Silent;
+import mulleinfront.settings.Config;
 import mulleinfront.settings.Listing;
 
 /**
@@ -41,8 +42,23 @@
     private static final long MOST_SECONDS = 3;
     static final String SELF = "self";
 
+    /** CPU that a request takes before its code is compiled, seconds: 4 to 8 ms measured, most connecting anew. */
+    private static final double COLD_REQUEST_S = 0.008;
+    /** Part of the cores that requests may take while their code is cold without waiting for each other. */
+    private static final double BEARABLE = 0.5;
+
     private Rehearsal() {}
 
+    /**
+     * Whether a rehearsal earns what it costs, some 0.7 s of CPU during which clients find nobody. Where few requests
+     * come to an instance it does not: they find a core idle even when their code is cold, and a day of two hundred
+     * takes less CPU than the rehearsal and they together.
+     */
+    static boolean pays(Config config) {
+        return config.requestsPerS() == 0
+                || config.requestsPerS() * COLD_REQUEST_S > BEARABLE * config.cores();
+    }
+
     /** Requests and outcomes through a module. */
     static void decide(Balancer.Settings settings) {
         ArrayDeque<AttemptEnd> ends = new ArrayDeque<>();
--- a/src/main/java/mulleinfront/settings/Config.java
+++ b/src/main/java/mulleinfront/settings/Config.java
@@ -21,14 +21,17 @@
  * @param zones names of the zones, by number
  * @param kinds names of the kinds of machine, by number
  * @param tenants names of the tenants, by number
+ * @param cores part of the machine's cores that the platform allows the process
+ * @param requestsPerS requests a second that all tenants together may send to this instance, by their shares; 0 if the
+ *        settings do not say
  * @param limit descriptors that the platform allows the process
  * @param sockets descriptors that this client proxy may hold
  * @param dialTimeoutUs time within which a connection must have come up
  * @param known the list of hosts as last held, perhaps old; null if there is none
  */
 public record Config(InetSocketAddress listen, InetSocketAddress management, InetSocketAddress discovery, long seed,
-        Settings settings, List<String> zones, List<String> kinds, List<String> tenants, int limit, int sockets, long dialTimeoutUs,
-        Listing known) {
+        Settings settings, List<String> zones, List<String> kinds, List<String> tenants, double cores,
+        double requestsPerS, int limit, int sockets, long dialTimeoutUs, Listing known) {
 
     /** What the program is sized for as deployed; a lower limit is kept, a higher one used only by {@link Machine}. */
     private static final int MOST_SOCKETS = 1024;
@@ -56,7 +59,7 @@
         InetSocketAddress discovery = null;
         String seed = null;
         Listing known = null;
-        int sockets = MOST_SOCKETS;
+        Limits limits = Limits.NONE;
         SettingsReader settings = null;
         try (JsonParser in = Listing.JSON.createParser(json)) {
             if (in.nextToken() != JsonToken.START_OBJECT) {
@@ -72,7 +75,7 @@
                     case "management" -> management = Listing.address(in.getText());
                     case "discovery" -> discovery = Listing.address(in.getText());
                     case "seed" -> seed = in.getText();
-                    case "limits" -> sockets = sockets(in);
+                    case "limits" -> limits = limits(in);
                     case "known" -> known = Listing.read(in);
                     case "settings" -> settings = SettingsReader.read(in);
                     default -> in.skipChildren();
@@ -84,15 +87,15 @@
         need(settings, "settings");
         need(seed, "seed");
         return new Config(listen, management, discovery, seed(seed), settings.toSettings(),
-                settings.names("azs"), settings.names("kinds"), settings.tenants(), sockets,
-                Math.min(MOST_SOCKETS, sockets),
+                settings.names("azs"), settings.names("kinds"), settings.tenants(), limits.cores(),
+                settings.requestsPerS(), limits.sockets(), Math.min(MOST_SOCKETS, limits.sockets()),
                 settings.dialTimeoutUs(), known);
     }
 
     /** The same on another port. */
     public Config on(int port) {
         return new Config(new InetSocketAddress(listen.getAddress(), port), management, discovery, seed, settings, zones,
-                kinds, tenants, limit, sockets, dialTimeoutUs, known);
+                kinds, tenants, cores, requestsPerS, limit, sockets, dialTimeoutUs, known);
     }
 
     /** One of several client proxies in a process, each an instance to the module. */
@@ -100,25 +103,30 @@
         Settings s = settings;
         Settings shared = new Settings(s.classes(), s.tenantShares(), s.overShareWorth(), s.instances() * of,
                 s.probePrice(), s.subscribe(), s.weightsVary(), s.limits(), s.contract());
-        return new Config(listen, management, discovery, seed + number * SEED_STEP, shared, zones, kinds, tenants, limit,
-                itsSockets, dialTimeoutUs, known);
+        return new Config(listen, management, discovery, seed + number * SEED_STEP, shared, zones, kinds, tenants, cores,
+                requestsPerS / of, limit, itsSockets, dialTimeoutUs, known);
     }
 
-    private static int sockets(JsonParser in) throws IOException {
+    /** What the platform allows the process. */
+    private record Limits(double cores, int sockets) {
+        private static final Limits NONE = new Limits(1, MOST_SOCKETS);
+    }
+
+    private static Limits limits(JsonParser in) throws IOException {
         if (in.currentToken() != JsonToken.START_OBJECT) {
             throw new IOException("configuration: limits must be an object");
         }
-        int sockets = MOST_SOCKETS;
+        Limits limits = Limits.NONE;
         while (in.nextToken() == JsonToken.FIELD_NAME) {
-            boolean named = in.currentName().equals("sockets");
+            String name = in.currentName();
             in.nextToken();
-            if (named) {
-                sockets = in.getIntValue();
-            } else {
-                in.skipChildren();
+            switch (name) {
+                case "cores" -> limits = new Limits(in.getDoubleValue(), limits.sockets());
+                case "sockets" -> limits = new Limits(limits.cores(), in.getIntValue());
+                default -> in.skipChildren();
             }
         }
-        return sockets;
+        return limits;
     }
 
     private static long seed(String hex) throws IOException {
--- a/src/main/java/mulleinfront/settings/SettingsReader.java
+++ b/src/main/java/mulleinfront/settings/SettingsReader.java
@@ -77,6 +77,15 @@
         return names;
     }
 
+    /** Requests a second that the tenants together may send to one instance, by their allowances; 0 if none are given. */
+    public double requestsPerS() {
+        double all = 0;
+        for (Object o : list(root, "customers")) {
+            all += number(map(o, "customers"), "allowancePerS", 0);
+        }
+        return all / Math.max(1, number(root, "balancers", 1));
+    }
+
     /** Time within which a connection must have come up, microseconds. */
     public long dialTimeoutUs() {
         return (long) number(map(root.get("limits"), "limits"), "dialTimeoutUs", 250_000);
