--- a/src/main/java/mulleinfront/Balancer.java
+++ b/src/main/java/mulleinfront/Balancer.java
@@ -37,14 +37,20 @@
     void onRequestGone(long now, String requestId);
 
     /**
-     * The attempt now belongs to the client: its answer has begun, or its request is still being read. How long it
-     * takes tells nothing of the endpoint.
+     * The attempt now belongs to the client: its answer has begun, or its request is still being read. How
+     * long it takes tells nothing of the endpoint.
      */
     void onStreamStarted(long now, String requestId, int attempt);
 
     /** An attempt ended. Unknown requests and repeated reports are ignored. */
     void onAttemptEnded(long now, AttemptEnd end);
 
+    /**
+     * An endpoint said how many requests it holds, all clients' together; a little old and not exact. Comes
+     * ahead of the outcome that brought it. Unknown endpoints are ignored.
+     */
+    default void onReport(long now, String endpointId, double held) { }
+
     /** A probe ended, {@code lagUs} after it was asked for. Unknown endpoints are ignored. */
     void onProbeEnded(long now, String endpointId, Outcome outcome, long lagUs);
 
@@ -246,13 +252,23 @@
      * @param askWithinUs where lists must be asked for: how long one may go without asking
      * @param coldFrom share of its capacity with which an endpoint starts, at least
      * @param coldUs time after which it is warm, at most
+     * @param overload how many times its present capacity pushes a cold endpoint over
      */
-    record Contract(long askWithinUs, double coldFrom, long coldUs) {
+    record Contract(long askWithinUs, double coldFrom, long coldUs, double overload) {
+        /** The least multiple that a deployment may state. */
+        private static final double LEAST_OVERLOAD = 2;
+
+        /** Where the multiple is not stated. */
+        public Contract(long askWithinUs, double coldFrom, long coldUs) {
+            this(askWithinUs, coldFrom, coldUs, LEAST_OVERLOAD);
+        }
+
         /** Rejects nonsense by name. */
         public Contract {
             Settings.need(askWithinUs > 0, "contract.askWithinUs must be above 0");
             Settings.need(coldFrom > 0 && coldFrom <= 1, "contract.coldFrom must be in (0, 1]");
             Settings.need(coldUs >= 0, "contract.coldUs is negative");
+            Settings.need(overload > 0, "contract.overloadFactor must be above 0");
         }
     }
 }
--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -90,6 +90,39 @@
     private static final double MOST_CREDIT = 2;
     /** Usable owners among which a request may spill: a key stays warm on few endpoints, not on all. */
     private static final int OWNERS = 3;
+    /**
+     * The same where many instances go by what endpoints report: a hot key needs as many as it has work for.
+     */
+    private static final int REPORTED_OWNERS = 8;
+    /**
+     * Part of the aim that an endpoint's queue may take before some requests pass it by, and before all do.
+     */
+    private static final double SPILL_FROM = 0.3;
+    private static final double SPILL_ALL = 1.5;
+    /**
+     * Time over which a report gives way to what all endpoints report, microseconds: it may be seconds to the
+     * next.
+     */
+    private static final double REPORT_FADES_US = 4_000_000;
+    /** Reports over which those of all endpoints are smoothed. */
+    private static final double REPORT_GAIN = 0.08;
+    /**
+     * Without any report for a while nobody is held to be busy for long: who sends nothing hears of nothing.
+     */
+    private static final long UNHEARD_US = 300_000;
+    private static final double UNHEARD_FADES_US = 2_000_000;
+    /**
+     * How long one that turned a request away is left alone at first; doubles with each that follows soon.
+     */
+    private static final long FULL_US = 1_000_000;
+    private static final int MOST_FULL = 4;
+    /**
+     * Part of the multiple that pushes a cold endpoint over up to which it is sent work, were the fleet fully
+     * loaded.
+     */
+    private static final double COLD_PART = 0.6;
+    /** Cost of a retry, of the budget, where nothing has run: it cost the endpoint next to nothing. */
+    private static final double NEVER_RAN = 0.2;
     /** Part of its limit up to which an endpoint takes keys that spill from their owner. */
     private static final double SPILL_ROOM = 0.7;
     /** Smoothed failure share at which an endpoint is ejected: three failures in a row reach it. */
@@ -152,6 +185,8 @@
     private final double mostWorth;
     private final Effect safest;
     private final boolean many;
+    /** Tells the lots of many instances apart: those of the first request of a key would all be one. */
+    private final long salt;
     /** Lag against the usual by kind of endpoint: at little traffic no endpoint alone shows it. */
     private final double[] kindRatio = new double[KINDS];
     private double tenantTotal;
@@ -174,6 +209,16 @@
     private double saved = MOST_SAVED;
     private double retryTokens = RETRY_MOST / 2;
     private long sends;
+    /**
+     * Attempts asked for, sent or not: what a cold endpoint's part is reckoned by where instances are many.
+     */
+    private long wanted;
+    /** The largest listed weight of all endpoints so far: the fleet as its load is sized for. */
+    private double fullWeight;
+    /** Requests that endpoints report to hold, for each part of their size; and when one last did. */
+    private double reported;
+    private long reportedAt = Long.MIN_VALUE / 2;
+    private boolean reports;
     private Node opening;
     private int walk;
     private long requests;
@@ -204,6 +249,7 @@
         this.mostWorth = settings.classes().stream().mapToDouble(RequestClass::worth).reduce(1e-9, Math::max);
         this.safest = settings.classes().stream().map(RequestClass::effect).sorted().iterator().next();
         this.many = settings.instances() > MANY;
+        this.salt = many ? seed : 0;
         this.tenantAt = now;
         this.nextSweep = now + SWEEP_US;
         this.askAt = now;
@@ -341,7 +387,8 @@
         Node ejected = null;
         int usable = 0;
         ring.seek(r.hash);
-        while (left > 0 && (usable < OWNERS || keyless)) {
+        int owners = reports ? REPORTED_OWNERS : OWNERS;
+        while (left > 0 && (usable < owners || keyless)) {
             Node n = ring.next();
             if (n.seen == walk) {
                 continue;
@@ -349,7 +396,7 @@
             n.seen = walk;
             left--;
             boolean tried = !r.attempts.isEmpty() && r.attempts.stream().anyMatch(a -> a.node == n);
-            if (!n.ready || tried || !inGroup(r, bond, n) || !coldAdmits(n, now)) {
+            if (!n.ready || tried || now < n.fullUntil || !inGroup(r, bond, n) || !coldAdmits(n, now)) {
                 continue;
             }
             if (n.ejected) {
@@ -366,6 +413,9 @@
             if (!hasRoom(n, r, usable == 1 || keyless ? 1 : SPILL_ROOM)) {
                 continue;
             }
+            if (reports && spills(r, n, now)) {
+                continue;
+            }
             boolean wait = keyless && now >= n.connectedUntil && opening != null && opening != n;
             // A fragile request goes only where nothing failed lately, if it can.
             boolean sure = r.type.effect() != Effect.FRAGILE || n.failShare < GAIN;
@@ -419,7 +469,7 @@
     private void count(Node n, long now) {
         n.capacity = size(n) * ramp(n, now) * Math.max(LEAST_KIND, bestKind / kindRatio[n.kind]);
         capacity -= n.counted;
-        n.counted = n.ready && !n.ejected ? n.capacity : 0;
+        n.counted = n.ready && !n.ejected && now >= n.fullUntil ? n.capacity : 0;
         capacity += n.counted;
     }
 
@@ -440,17 +490,68 @@
      * A cold endpoint takes no more than its credit: its part, by ramped capacity, of what this instance
      * sends to all, from a random start below one. So however many instances there are and however little
      * each of them sends, their sum is the endpoint's part, from its first moment on.
+     *
+     * <p>Where instances are many it is a part of what they are asked for, or a fleet that is cold as a whole
+     * would refuse, send little for it, and stay closed; and it is no larger than the endpoint bears were all
+     * that the whole fleet can do when warm asked for, however few others are left.
      */
     private boolean coldAdmits(Node n, long now) {
         if (!n.cold) {
             return true;
         }
         double own = size(n) * ramp(n, now);
-        n.credit = Math.min(MOST_CREDIT, n.credit + own / Math.max(capacity, own) * (sends - n.creditAt));
-        n.creditAt = sends;
+        double part = own / Math.max(capacity, own);
+        long made = many ? wanted : sends;
+        if (many) {
+            fullWeight = Math.max(fullWeight, weight);
+            double bears = COLD_PART * settings.contract().overload();
+            part = Math.min(part, bears * own / Math.max(fullWeight, own));
+        }
+        n.credit = Math.min(MOST_CREDIT, n.credit + part * (made - n.creditAt));
+        n.creditAt = made;
         return n.credit >= 1;
     }
 
+    // ---- load reports --------------------------------------------------------------------------------
+
+    /**
+     * What an endpoint says it holds is from all instances, so one that sends it little learns what its own
+     * attempts never show. Where instances are few their own attempts show more than old reports.
+     */
+    @Override
+    public void onReport(long now, String endpointId, double held) {
+        Node n = nodes.get(endpointId);
+        if (n == null || !many) {
+            return;
+        }
+        reports = true;
+        n.reported = held / size(n);
+        n.reportedAt = now;
+        double mean = reportedByAll(now);
+        reported = mean + (n.reported - mean) * REPORT_GAIN;
+        reportedAt = now;
+    }
+
+    private double reportedByAll(long now) {
+        return reported * Math.exp(Math.min(0, reportedAt + UNHEARD_US - now) / UNHEARD_FADES_US);
+    }
+
+    /** Requests that an endpoint holds for each part of its size, as far as is known. */
+    private double queue(Node n, long now) {
+        double fresh = Math.exp((n.reportedAt - now) / REPORT_FADES_US);
+        return fresh * n.reported + (1 - fresh) * reportedByAll(now);
+    }
+
+    /**
+     * Whether a request passes an endpoint by for its queue. Since all instances hear of the same queue at
+     * about the same time, the longer it is the more of them do: were it all or none, they would move
+     * together.
+     */
+    private boolean spills(Req r, Node n, long now) {
+        double aims = queue(n, now) * usualLag[r.in.classIndex()] / r.type.aimUs();
+        return aims > SPILL_FROM && draw(r, n) * (SPILL_ALL - SPILL_FROM) < aims - SPILL_FROM;
+    }
+
     // ---- health --------------------------------------------------------------------------------------
 
     private void learnLag(Attempt a, long lag, long now, boolean served) {
@@ -469,7 +570,8 @@
         if (late) {
             double spread = many ? Math.max(0, Math.min(1, LATE_SLOPE * (lateShare - FEW_LATE))) : 0;
             double cut = (served ? ADMIT_CUT / 2 : ADMIT_CUT) * spread;
-            admitted = Math.max(LEAST_LIMIT, admitted * (1 - cut));
+            // Where endpoints say what they hold, a few late answers must not close the door to all.
+            admitted = reports ? 1 : Math.max(LEAST_LIMIT, admitted * (1 - cut));
             n.everCut = true;
             double used = many ? Math.min(n.limit, n.outstanding.size() + 1) : n.limit;
             n.limit = Math.max(LEAST_LIMIT, (served ? CUT : LOSS_CUT) * used);
@@ -491,20 +593,30 @@
     }
 
     /** Whether the endpoint's limit leaves room; one under 1 is the share of requests that may go there. */
-    private static boolean hasRoom(Node n, Req r, double part) {
+    private boolean hasRoom(Node n, Req r, double part) {
         int size = n.outstanding.size();
         double room = part * n.limit;
         return room >= 1 ? size + 1 <= room : size == 0 && draw(r, n) < room;
     }
 
     /** The request's lot at an endpoint: drawn once, so that waiting does not change it. */
-    private static double draw(Req r, Node n) {
-        return (HASH.hashLongLongToLong(r.order * 0x9e3779b97f4a7c15L ^ r.hash, n.hash) >>> 11) * 0x1p-53;
+    private double draw(Req r, Node n) {
+        long lot = r.order * 0x9e3779b97f4a7c15L ^ r.hash ^ salt;
+        return (HASH.hashLongLongToLong(lot, n.hash) >>> 11) * 0x1p-53;
     }
 
     private void learnFailure(Node n, Outcome outcome, long now) {
         boolean bad = outcome != Outcome.OK && outcome != Outcome.QUEUE_FULL;
         n.failShare += ((bad ? 1 : 0) - n.failShare) * GAIN;
+        if (outcome != Outcome.QUEUE_FULL) {
+            n.full = outcome == Outcome.OK ? 0 : n.full;
+        } else if (many) {
+            // It is full, or drains and the list does not say so yet: each instance would have to learn that
+            // anew.
+            n.full = Math.min(MOST_FULL, n.full + 1);
+            n.fullUntil = now + (FULL_US << n.full - 1);
+            count(n, now);
+        }
         if (outcome == Outcome.CONNECT_ERROR) {
             n.connectedUntil = now;
             eject(n, now, true);
@@ -556,10 +668,12 @@
         n.cold = true;
         n.warmFrom = from;
         n.credit = random.nextDouble();
-        n.creditAt = sends;
+        n.creditAt = many ? wanted : sends;
     }
 
     private static void readmit(Node n) {
+        n.full = 0;
+        n.fullUntil = 0;
         n.ejected = false;
         n.down = false;
         n.trial = null;
@@ -608,6 +722,7 @@
         double worth = type.worth() * tenantWorth(in, now) * (repeat ? REPEAT_WORTH : 1);
         Req r = new Req(in, type, hash, now, worth, ++requests);
         open.put(in.id(), r);
+        wanted++;
         retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_EARN);
         r.cautious = random.nextDouble() < (many ? CAUTION : CAUTION / 2) * strain;
         if (admits(r)) {
@@ -748,11 +863,12 @@
         int stuck = 0;
         for (Req r : first) {
             boolean over = now >= r.holdUntil;
-            Node n = over || stuck < 2 ? pick(r, now) : null;
+            boolean may = r.attempts.isEmpty() || mayResend(r, now);
+            Node n = may && (over || stuck < 2) ? pick(r, now) : null;
             if (n != null) {
                 held.remove(r);
                 dispatch(r, n, now);
-            } else if (over) {
+            } else if (over || !may) {
                 finish(r);
             } else {
                 stuck++;
@@ -807,10 +923,15 @@
         Attempt bond = bond(r);
         boolean harmless = bond == null || r.type.effect() == Effect.RETRYABLE
                 || r.type.effect() == Effect.DEDUP && now < bond.at + r.type.dedupWindowUs();
-        return harmless && r.attempts.size() < settings.limits().maxAttempts() && retryTokens >= 1
+        return harmless && r.attempts.size() < settings.limits().maxAttempts() && retryTokens >= cost(bond)
                 && r.worthUntil() - now > usualLag[r.in.classIndex()] / 2;
     }
 
+    /** What a retry takes of the budget. */
+    private double cost(Attempt bond) {
+        return many && bond == null ? NEVER_RAN : 1;
+    }
+
     private boolean mayRefuse(Req r) {
         return bond(r) == null || r.type.effect() == Effect.RETRYABLE
                 || r.type.effect() == Effect.DEDUP && r.type.scope() == DedupScope.ALL;
@@ -921,10 +1042,14 @@
 
     /** After a failed attempt: the next owner on the ring, or the final answer. */
     private void again(Req r, long now) {
-        Node n = mayResend(r, now) ? pick(r, now) : null;
+        boolean may = mayResend(r, now);
+        Node n = may ? pick(r, now) : null;
         if (n != null) {
-            retryTokens--;
+            retryTokens -= cost(bond(r));
+            wanted++;
             send(r, n, now);
+        } else if (may && many) {
+            hold(r, now);
         } else {
             finish(r);
         }
--- a/src/main/java/mulleinfront/State.java
+++ b/src/main/java/mulleinfront/State.java
@@ -22,6 +22,12 @@
         long heardAt = Long.MIN_VALUE / 2;
         long promptAt = Long.MIN_VALUE / 2;
         long busyUntil;
+        /** Requests that it reported to hold, for each part of its size, and when. */
+        double reported;
+        long reportedAt = Long.MIN_VALUE / 2;
+        /** Until when it is left alone for having turned requests away, and how many in a row it has. */
+        long fullUntil;
+        int full;
         double capacity;
         /** What of it is in the sum over all endpoints. */
         double counted;
--- a/src/main/java/mulleinfront/benchlink/Adapter.java
+++ b/src/main/java/mulleinfront/benchlink/Adapter.java
@@ -137,7 +137,9 @@
         out.flush();
     }
 
-    /** An action on its way to the wire; {@code number} is written under {@code numberName} if that is set. */
+    /**
+     * An action on its way to the wire; {@code number} is written under {@code numberName} if that is set.
+     */
     private record Action(String type, String requestId, String host, String numberName, long number,
             String text) {
         void write(JsonGenerator out) throws IOException {
@@ -183,6 +185,9 @@
             if (balancer == null) {
                 return;
             }
+            if (e.held >= 0) {
+                balancer.onReport(now, e.host, e.held);
+            }
             switch (e.type) {
                 case "DISCOVERY" -> discovery(e, now);
                 case "ORDER" -> balancer.onRequest(now, new Request(e.requestId, e.classIndex, e.key, e.budgetUs,
--- a/src/main/java/mulleinfront/benchlink/EventReader.java
+++ b/src/main/java/mulleinfront/benchlink/EventReader.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import mulleinfront.Balancer.Availability;
 import mulleinfront.Balancer.Endpoint;
+import mulleinfront.settings.LoadReport;
 import mulleinfront.settings.SettingsReader;
 
 /** Reads the groups of a batch into events that are used again from batch to batch. */
@@ -38,6 +39,8 @@
         int classIndex;
         int tenant;
         int attempt;
+        /** Requests that the host says it holds; NaN if it does not say. */
+        double held;
         int table;
         boolean complete;
         List<Endpoint> rows;
@@ -48,6 +51,7 @@
             budgetUs = expectedUs = lagUs = seed = 0;
             bits = classIndex = tenant = attempt = 0;
             table = -1;
+            held = Double.NaN;
             complete = false;
             rows = List.of();
             settings = null;
@@ -147,6 +151,7 @@
                 case "hop" -> e.attempt = in.getIntValue();
                 case "table" -> e.table = in.getIntValue();
                 case "complete" -> e.complete = in.getBooleanValue();
+                case "report" -> e.held = LoadReport.held(in);
                 case "rowsIn" -> e.rows = readRows();
                 case "bootInfo" -> e.settings = SettingsReader.read(in);
                 default -> in.skipChildren();
--- a/src/main/java/mulleinfront/cli/Emulate.java
+++ b/src/main/java/mulleinfront/cli/Emulate.java
@@ -6,15 +6,19 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
+import mulleinfront.emulator.Compared;
 import mulleinfront.emulator.ReportWriter;
 import mulleinfront.emulator.Scenario;
-import mulleinfront.settings.BadFileException;
 import mulleinfront.emulator.ScenarioReader;
 import mulleinfront.emulator.Sweep;
 import mulleinfront.emulator.World;
+import mulleinfront.emulator.reference.Reference;
+import mulleinfront.settings.BadFileException;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -23,7 +27,7 @@
 import picocli.CommandLine.Spec;
 
 /** {@code emulate}: plays a scenario on virtual time, under one seed or many. */
-@Command(name = "emulate", mixinStandardHelpOptions = true,
+@Command(name = "emulate", mixinStandardHelpOptions = true, subcommands = {ExplainCommand.class},
         description = "Plays a scenario on virtual time and prints what clients had of it.",
         footer = {"", "Exit codes: 0 the rules were kept, 2 bad input (one line on standard error), 3 a rule was"
             + " broken."})
@@ -33,7 +37,7 @@
     @Spec
     private CommandSpec spec;
 
-    @Parameters(paramLabel = "SCENARIO", description = "a scenario file, such as scenarios/calm.toml")
+    @Parameters(arity = "0..1", paramLabel = "SCENARIO", description = "a scenario file, such as scenarios/calm.toml")
     private Path file;
 
     @Option(names = "--seed", paramLabel = "N", description = "the one source of chance (default ${DEFAULT-VALUE})",
@@ -50,12 +54,27 @@
             + " worst, and how to replay the first broken rule")
     private String seeds;
 
+    @Option(names = "--balancer", paramLabel = "NAME", description = "plays a reference balancer in place of the"
+            + " product: random, round-robin, two-choices, ring, late, oracle")
+    private String balancer;
+
+    @Option(names = "--balancers", paramLabel = "all", description = "plays the product and every reference balancer,"
+            + " and prints one table")
+    private String balancers;
+
     @Option(names = "--jobs", paramLabel = "N", description = "worlds at once with --seeds (default: one a core)")
     private int jobs = Runtime.getRuntime().availableProcessors();
 
     @Override
     public Integer call() throws BadFileException, IOException, InterruptedException {
+        if (file == null) {
+            // Its subcommands have a parameter of their own, so this one can't be required.
+            throw new ParameterException(spec.commandLine(), "Missing required parameter: 'SCENARIO'");
+        }
         Scenario scenario = ScenarioReader.read(file);
+        if (balancers != null) {
+            return compare(scenario);
+        }
         if (seeds == null) {
             return one(scenario);
         }
@@ -65,10 +84,37 @@
         return sweep(scenario);
     }
 
+    private Reference reference() {
+        Reference reference = balancer == null ? null : Reference.of(balancer);
+        if (balancer != null && reference == null) {
+            throw new ParameterException(spec.commandLine(), "--balancer: there is no '" + balancer + "'; there are "
+                    + Arrays.stream(Reference.values()).map(Reference::word).collect(Collectors.joining(", ")));
+        }
+        return reference;
+    }
+
+    /** The product and all references on the same seeds, one line each. */
+    private int compare(Scenario scenario) throws InterruptedException {
+        if (!balancers.equals("all") || balancer != null || trace != null || json != null) {
+            throw new ParameterException(spec.commandLine(),
+                    "--balancers takes the word all, and no --balancer, --trace or --json");
+        }
+        long[] range = seeds == null ? new long[] {seed, seed} : range();
+        List<Compared> all = Compared.play(scenario, range[0], range[1], jobs);
+        PrintWriter out = spec.commandLine().getOut();
+        out.print(Compared.table(scenario, range[0], range[1], all));
+        out.flush();
+        return all.get(0).broken() == 0 ? CommandLine.KEPT : CommandLine.RULE_BROKEN;
+    }
+
     private int one(Scenario scenario) throws IOException, BadFileException {
         World.Result result;
+        Reference reference = reference();
+        if (reference != null && trace != null) {
+            throw new ParameterException(spec.commandLine(), "--trace is for the product's decisions alone");
+        }
         try (OutputStream to = trace == null ? null : open(trace)) {
-            result = World.of(scenario, seed, to).play();
+            result = (reference == null ? World.of(scenario, seed, to) : World.under(reference, scenario, seed)).play();
         }
         if (json != null) {
             try (OutputStream to = open(json)) {
@@ -98,7 +144,7 @@
         boolean terminal = System.console() != null;
         PrintWriter err = spec.commandLine().getErr();
         long[] done = {0, 0};
-        List<Sweep.Played> all = Sweep.play(scenario, range[0], range[1], jobs, played -> {
+        List<Sweep.Played> all = Sweep.play(scenario, range[0], range[1], jobs, reference(), played -> {
             done[0]++;
             done[1] += played.breaches() > 0 ? 1 : 0;
             if (terminal) {
--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -76,7 +76,9 @@
         private long outTimeout;
         /** Its answer has begun. */
         private boolean begun;
-        /** The attempt that is out is the client's by the module's word, which leaves it alone from then on. */
+        /**
+         * The attempt that is out is the client's by the module's word, which leaves it alone from then on.
+         */
         private boolean streaming;
 
         private Exchange(Caller<Q, A> caller, Request request, RequestClass type, Q call, long endAt) {
@@ -174,7 +176,9 @@
 
     // ---- callers -------------------------------------------------------------------------------------
 
-    /** No final answer of a request taken from now on is later than this, microseconds on the core's clock. */
+    /**
+     * No final answer of a request taken from now on is later than this, microseconds on the core's clock.
+     */
     public void endBy(long at) {
         lastAt = at;
     }
@@ -184,6 +188,11 @@
         return open.containsKey(requestId);
     }
 
+    /** Whether the lists told so far have a host that is ready. */
+    public boolean knowsHosts() {
+        return !ready.isEmpty();
+    }
+
     /** Requests that are held: open ones, and those whose end the module has not heard of yet. */
     public int held() {
         return open.size();
@@ -207,8 +216,8 @@
     }
 
     /**
-     * Takes a request that may still be being read: its attempt goes out while it comes. Its time counts from its last
-     * byte, which {@link #whole} tells; until then no attempt of it can have run.
+     * Takes a request that may still be being read: its attempt goes out while it comes. Its time counts from
+     * its last byte, which {@link #whole} tells; until then no attempt of it can have run.
      *
      * @param reading whether it is
      */
@@ -327,6 +336,11 @@
                         attemptEnded(x, number, sentAt, outcome, answer);
                     }
 
+                    @Override
+                    public void reported(double held) {
+                        Core.this.reported(hostId, held);
+                    }
+
                     @Override
                     public boolean begun(A answer) {
                         return attemptBegun(x, number, answer);
@@ -347,6 +361,10 @@
         made.start();
     }
 
+    private void reported(String hostId, double held) {
+        run(() -> balancer.onReport(time.now(), hostId, held));
+    }
+
     private boolean attemptBegun(Exchange<Q, A> x, int number, A answer) {
         if (x.answered) {
             return false;
@@ -432,8 +450,17 @@
                 run(() -> balancer.onProbeEnded(time.now(), endpointId, Outcome.IGNORED, 0));
                 return;
             }
-            wire.probe(endpointId, (outcome, answer) -> run(
-                    () -> balancer.onProbeEnded(time.now(), endpointId, outcome, time.now() - sentAt)));
+            wire.probe(endpointId, new Wire.End<>() {
+                @Override
+                public void ended(Outcome outcome, A answer) {
+                    run(() -> balancer.onProbeEnded(time.now(), endpointId, outcome, time.now() - sentAt));
+                }
+
+                @Override
+                public void reported(double held) {
+                    Core.this.reported(endpointId, held);
+                }
+            });
         });
     }
 
--- a/src/main/java/mulleinfront/core/Wire.java
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -17,11 +17,15 @@
     /** Fresh connections to one attempt, as long as they are reset before a request is written whole. */
     int MOST_FRESH = 3;
     /**
-     * Discovery's heartbeat comes every 2 s: two missed ones and a little more are silence. What discovery has to
-     * tell counts as told after 6 s even if it never came, so by then the next call must have been answered.
+     * Discovery's heartbeat comes every 2 s: two missed ones and a little more are silence. What discovery
+     * has to tell counts as told after 6 s even if it never came, so by then the next call must have been
+     * answered.
      */
     long SILENCE_US = 4_500_000;
-    /** The agent that pushes lists answers at once and at no cost: a broken watch of it is asked for after this. */
+    /**
+     * The agent that pushes lists answers at once and at no cost: a broken watch of it is asked for after
+     * this.
+     */
     long AGENT_AGAIN_US = 500_000;
 
     /** No time of its own yet. */
@@ -31,10 +35,18 @@
     interface End<A> {
         /**
          * @param outcome what can be vouched for: {@link Outcome#neverRan} only if that is known
-         * @param answer the host's answer if the outcome is {@link Outcome#OK}, else null; null too if it has begun
+         * @param answer the host's answer if the outcome is {@link Outcome#OK}, else null; null too if it has
+         *        begun
          */
         void ended(Outcome outcome, A answer);
 
+        /**
+         * The host said with its answer how many requests it holds; told before {@link #ended}.
+         *
+         * @param held that many, all clients' together
+         */
+        default void reported(double held) { }
+
         /**
          * The host's answer has begun, and is passed on from here as it comes; the attempt goes on until
          * {@link #ended} without a time of its own.
@@ -66,8 +78,8 @@
      * @param number the attempt's number, from 0
      * @param hostId a host of the list last told
      * @param request what to send
-     * @param timeoutUs time from now until the attempt ends by itself, microseconds, above 0; {@link #OPEN} while the
-     *        request is still being read, until {@link Attempt#endWithin}
+     * @param timeoutUs time from now until the attempt ends by itself, microseconds, above 0; {@link #OPEN}
+     *        while the request is still being read, until {@link Attempt#endWithin}
      * @param wanted asked right before the first byte leaves: if false nothing is sent, and the attempt has
      *        ended as {@link Outcome#IGNORED}
      * @param end told once
--- a/src/main/java/mulleinfront/emulator/Clients.java
+++ b/src/main/java/mulleinfront/emulator/Clients.java
@@ -1,6 +1,8 @@
 package mulleinfront.emulator;
 
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import mulleinfront.Balancer.RequestClass;
 import mulleinfront.core.Time;
 
@@ -45,6 +47,8 @@
         final int proxy;
         final double patience;
         final boolean honours;
+        /** Ids of its tries so far. */
+        final List<String> tried = new ArrayList<>(1);
         int tries;
 
         private Ask(int classIndex, RequestClass type, int tenant, String key, String effect, double work,
@@ -75,6 +79,8 @@
         final long deadlineAt;
         private boolean over;
         private Time.Timer patience;
+        /** How it ended; null while it is open. */
+        How how;
 
         private Try(Ask ask, Call call, long sentAt, long deadlineAt) {
             this.ask = ask;
@@ -186,6 +192,7 @@
                 world.queue.now(), proxy, scenario.clients().patience().draw(habits::between),
                 habits.happens(scenario.clients().honour()));
         world.tally.asked(ask);
+        world.account.asked(ask);
         attempt(ask);
     }
 
@@ -207,7 +214,7 @@
         long deadline = Math.min(now + (long) (ask.patience * ask.type.deadlineUs()),
                 ask.bornAt + ask.type.deadlineUs());
         if (deadline - now < 1_000) {
-            world.tally.over(ask, false, now);
+            over(ask, How.TIMED_OUT);
             return;
         }
         ask.tries++;
@@ -215,6 +222,7 @@
         Try t = new Try(ask, new Call(id, ask.classIndex, ask.work, ask.key, ask.effect,
                 ask.type.dedupWindowUs()), now, deadline);
         world.tally.tried();
+        world.account.tried(t);
         Instance proxy = world.proxies.get(ask.proxy);
         world.queue.after(way(), () -> {
             if (t.over) {
@@ -260,9 +268,11 @@
     private void ended(Try t, How how, long retryAfterUs) {
         Ask ask = t.ask;
         long now = world.queue.now();
+        t.how = how;
+        world.account.ended(t);
         world.tally.tryEnded(how);
         if (how == How.SERVED || how == How.LEFT) {
-            world.tally.over(ask, how == How.SERVED, now);
+            over(ask, how);
             return;
         }
         boolean harmless = how == How.REFUSED || how == How.UNREACHABLE || Scenario.refusable(ask.type);
@@ -273,9 +283,15 @@
         }
         if (!harmless || ask.tries > scenario.clients().retries()
                 || now + wait >= ask.bornAt + ask.type.deadlineUs()) {
-            world.tally.over(ask, false, now);
+            over(ask, how);
             return;
         }
         world.queue.after((long) wait, () -> attempt(ask));
     }
+
+    /** No further try follows. */
+    private void over(Ask ask, How how) {
+        double lost = world.tally.over(ask, how == How.SERVED, world.queue.now());
+        world.account.over(ask, lost, world.queue.now());
+    }
 }
--- a/src/main/java/mulleinfront/emulator/EmulatedWire.java
+++ b/src/main/java/mulleinfront/emulator/EmulatedWire.java
@@ -12,9 +12,9 @@
 import mulleinfront.core.Wire;
 
 /**
- * Connections of one client proxy to servers, and the attempts made on them, on the emulated network: the same
- * steps as on sockets (an idle connection that has rested, or a new one; the whole request or surely not; one
- * end), with every delay and break drawn.
+ * Connections of one client proxy to servers, and the attempts made on them, on the emulated network: the
+ * same steps as on sockets (an idle connection that has rested, or a new one; the whole request or surely
+ * not; one end), with every delay and break drawn.
  */
 final class EmulatedWire implements Wire<Call, Answer> {
     /** Messages of a handshake, each way, before a request may be sent. */
@@ -223,7 +223,8 @@
             fresh++;
             dial = time.after(world.scenario.limits().dialTimeoutUs(), () -> finish(Outcome.CONNECT_ERROR, null));
             Host host = world.at(address);
-            // An address without a machine, or none on the way to it, is silence; one without a process refuses.
+            // An address without a machine, or none on the way to it, is silence; one without a process
+            // refuses.
             if (host == null || !world.network.passes(zone, host)) {
                 return;
             }
@@ -271,6 +272,7 @@
             Host host = to.host;
             if (requestId != null) {
                 world.audit.sent(proxy, requestId, number, host.id, time.now());
+                world.account.sent(requestId, number, host);
                 world.tally.sent(zone == host.zone);
             }
             if (host.chance.happens(host.resetBefore)) {
@@ -301,13 +303,13 @@
                 return;
             }
             if (requestId == null) {
-                to.life.probe((how, inflight) -> back(to, how));
+                to.life.probe((how, inflight) -> back(to, how, inflight));
                 return;
             }
             double work = call.work() + (to.fresh ? to.life.handshakeWork() : 0);
             to.fresh = false;
             ServerModel.Job made = new ServerModel.Job(requestId, work, call.key(), call.effect(),
-                    call.windowUs(), endsAt, (how, inflight) -> back(to, how));
+                    call.windowUs(), endsAt, (how, inflight) -> back(to, how, inflight));
             if (!over) {
                 job = made;
             }
@@ -322,7 +324,7 @@
         }
 
         /** The server answers. */
-        private void back(Link to, ServerModel.End how) {
+        private void back(Link to, ServerModel.End how, int inflight) {
             Host host = to.host;
             to.servedAt = world.queue.now();
             if (requestId != null && host.chance.happens(host.resetAfter)) {
@@ -334,13 +336,16 @@
             }
             world.queue.after(world.network.delay(zone, host.zone), () -> {
                 if (to.open && to.current == this && world.network.passes(zone, host)) {
-                    answered(to, how);
+                    answered(to, how, inflight);
                 }
             });
         }
 
-        private void answered(Link to, ServerModel.End how) {
+        private void answered(Link to, ServerModel.End how, int inflight) {
             link = null;
+            if (to.host.chance.happens(world.scenario.limits().reports())) {
+                end.reported(inflight);
+            }
             if (to.host.address == address && to.host.life == to.life && !to.life.draining()) {
                 rest(to);
             } else {
@@ -394,6 +399,7 @@
             }
             if (requestId != null) {
                 world.audit.attemptEnded(proxy, requestId, number, outcome, time.now());
+                world.account.attemptEnded(requestId, number, world.at(address), outcome);
                 world.tally.outcome(outcome);
             }
             end.ended(outcome, answer);
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/Explain.java
@@ -0,0 +1,54 @@
+package mulleinfront.emulator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** What happened to single requests of a world: one by its id, or the first that were lost by a cause. */
+public final class Explain {
+    private Explain() { }
+
+    /**
+     * Plays a world and tells of a request.
+     *
+     * @param id of any of its tries
+     * @return lines, none if there was no such request
+     */
+    public static List<String> request(Scenario scenario, long seed, String id) {
+        List<String> lines = new ArrayList<>();
+        World world = World.of(scenario, seed, null);
+        world.account.listen((ask, cause) -> {
+            if (ask.tried.contains(id)) {
+                tell(world, ask, cause, lines::add);
+            }
+        });
+        world.play();
+        return lines;
+    }
+
+    /**
+     * Plays a world and tells of the first requests that a cause has lost.
+     *
+     * @param from only of requests that were asked for at or after this, microseconds
+     * @param most so many at most
+     */
+    public static List<String> cause(Scenario scenario, long seed, Cause wanted, long from, int most) {
+        List<String> lines = new ArrayList<>();
+        int[] told = {0};
+        World world = World.of(scenario, seed, null);
+        world.account.listen((ask, cause) -> {
+            if (cause == wanted && ask.bornAt >= from && told[0] < most) {
+                told[0]++;
+                tell(world, ask, cause, lines::add);
+            }
+        });
+        world.play();
+        return lines;
+    }
+
+    private static void tell(World world, Clients.Ask ask, Cause cause, Consumer<String> to) {
+        world.account.tell(ask).forEach(to);
+        to.accept(cause == null ? "             served in time" : "             lost: " + cause.words());
+        to.accept("");
+    }
+}
--- a/src/main/java/mulleinfront/emulator/Instance.java
+++ b/src/main/java/mulleinfront/emulator/Instance.java
@@ -8,6 +8,11 @@
     /** Whether a try can be handed to it; if not, its client could not connect. */
     abstract boolean running();
 
+    /** Whether it knows of any server that is ready; of processes elsewhere nobody can tell. */
+    boolean knowsServers() {
+        return true;
+    }
+
     /** SIGKILL. */
     abstract void kill();
 
--- a/src/main/java/mulleinfront/emulator/Proxy.java
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -30,6 +30,11 @@
         return life != null && life.listening;
     }
 
+    @Override
+    boolean knowsServers() {
+        return life != null && life.core.knowsHosts();
+    }
+
     int held() {
         return life == null ? 0 : life.core.held();
     }
@@ -141,6 +146,7 @@
         private void take(Clients.Try t) {
             long now = now();
             world.audit.taken(number, t.call.id(), t.call.classIndex(), now, t.deadlineAt);
+            world.account.taken(t.call.id());
             core.take(world.fitting.caller(new Caller<Call, Answer>() {
                 @Override
                 public void opened(Core.Exchange<Call, Answer> exchange) {
@@ -156,6 +162,7 @@
                 @Override
                 public void refused(long retryAfterUs) {
                     world.audit.refused(number, t.call.id(), now());
+                    world.account.refused(t.call.id());
                     over(t, Clients.How.REFUSED, retryAfterUs);
                 }
 
--- a/src/main/java/mulleinfront/emulator/ReportWriter.java
+++ b/src/main/java/mulleinfront/emulator/ReportWriter.java
@@ -41,6 +41,7 @@
         for (ServiceReport.Window w : s.windows()) {
             line(out, "%8.0f s %8d %8.3f", w.atUs() / 1e6, w.asked(), w.share());
         }
+        losses(out, s);
         line(out, "");
         line(out, "tries ended:%s", counts(s.tries()));
         line(out, "attempts ended:%s", counts(s.outcomes()));
@@ -68,6 +69,37 @@
         return out.toString();
     }
 
+    /** What was lost, the largest cause first. */
+    private static void losses(StringBuilder out, ServiceReport s) {
+        if (s.losses().lost() <= 0) {
+            return;
+        }
+        double asked = s.losses().lost() / Math.max(1e-9, 1 - s.whole());
+        line(out, "");
+        line(out, "%-44s %8s %9s", "lost by its first cause", "requests", "of worth");
+        s.losses().causes().entrySet().stream()
+                .sorted((a, b) -> Double.compare(b.getValue().worth(), a.getValue().worth()))
+                .forEach(e -> line(out, "%-44s %8d %8.2f%%", e.getKey().words(), e.getValue().requests(),
+                        100 * e.getValue().worth() / asked));
+    }
+
+    /**
+     * The same for each of its parts: a line for each instance, zone, class, tenant or window that lost
+     * something.
+     */
+    public static String losses(LossReport losses, LossReport.Part part) {
+        StringBuilder out = new StringBuilder();
+        line(out, "%-20s %10s  %s", "lost by " + part.word(), "worth", "causes");
+        losses.parts().get(part).forEach((name, causes) -> {
+            StringBuilder all = new StringBuilder();
+            causes.entrySet().stream().sorted((a, b) -> Double.compare(b.getValue(), a.getValue())).forEach(c -> all
+                    .append(all.length() == 0 ? "" : ", ").append(c.getKey().word())
+                    .append(String.format(Locale.ROOT, " %.1f", c.getValue())));
+            line(out, "%-20s %10.1f  %s", name, causes.values().stream().mapToDouble(d -> d).sum(), all);
+        });
+        return out.toString();
+    }
+
     private static String notes(ServerModel.Figures f) {
         StringBuilder notes = new StringBuilder();
         if (f.fell) {
--- a/src/main/java/mulleinfront/emulator/Scenario.java
+++ b/src/main/java/mulleinfront/emulator/Scenario.java
@@ -127,9 +127,13 @@
      */
     public record Tenant(String name, double share, double usage) { }
 
-    /** What a client proxy may do, and the figures it works by. */
+    /**
+     * What a client proxy may do, and the figures it works by.
+     *
+     * @param reports part of the answers that say how many requests their server holds
+     */
     public record Limits(int attempts, boolean cancel, boolean probes, long retryAfterUs, long dialTimeoutUs,
-            long connIdleUs) { }
+            long connIdleUs, double reports) { }
 
     /**
      * @param answerSlackUs time after the deadline in which a final answer still counts
@@ -185,7 +189,7 @@
                 service.probe() / Math.max(1e-9, worth), discovery.asked(), false,
                 new Balancer.Limits(limits.attempts(), limits.cancel(), limits.probes(), limits.retryAfterUs(),
                         limits.connIdleUs()),
-                new Balancer.Contract(rules.askWithinUs(), rules.coldFrom(), rules.coldUs()));
+                new Balancer.Contract(rules.askWithinUs(), rules.coldFrom(), rules.coldUs(), rules.coldMultiple()));
     }
 
     /** Whether a refusal of this class is harmless after an attempt that may have run. */
@@ -224,7 +228,10 @@
         return servers.stream().mapToInt(Servers::count).sum();
     }
 
-    /** Requests of the mean work that all servers can serve in a second when warm and undisturbed, in expectation. */
+    /**
+     * Requests of the mean work that all servers can serve in a second when warm and undisturbed, in
+     * expectation.
+     */
     public double fullRate() {
         return fullRate(servers, classes);
     }
@@ -234,7 +241,9 @@
         return capacity(servers) * 1e6 / work;
     }
 
-    /** Work that all servers can do in a second when warm and undisturbed, in core seconds, in expectation. */
+    /**
+     * Work that all servers can do in a second when warm and undisturbed, in core seconds, in expectation.
+     */
     public double capacity() {
         return capacity(servers);
     }
--- a/src/main/java/mulleinfront/emulator/ScenarioReader.java
+++ b/src/main/java/mulleinfront/emulator/ScenarioReader.java
@@ -315,7 +315,7 @@
     private static Limits limits(Section s) throws BadFileException {
         Limits l = new Limits(s.count("attempts", 4, 1), s.flag("cancel", true), s.flag("probes", true),
                 s.time("retry-after", 2_000_000L), positive(s, "dial-timeout", 250_000L),
-                positive(s, "idle-close", 5_000_000L));
+                positive(s, "idle-close", 5_000_000L), s.share("reports", 0.35, 1));
         s.done();
         return l;
     }
--- a/src/main/java/mulleinfront/emulator/ServerModel.java
+++ b/src/main/java/mulleinfront/emulator/ServerModel.java
@@ -9,13 +9,13 @@
 import mulleinfront.settings.Range;
 
 /**
- * One life of a factoring server's process, from its start to its end: a waiting room before some slots, whose
- * requests share the cores. It knows no network and no clock but the {@link Time} it is given, so it runs on
- * virtual time here and may run on a real clock elsewhere.
+ * One life of a factoring server's process, from its start to its end: a waiting room before some slots,
+ * whose requests share the cores. It knows no network and no clock but the {@link Time} it is given, so it
+ * runs on virtual time here and may run on a real clock elsewhere.
  *
- * <p>Every running request progresses at one rate, so the work that each has had since the start is one figure
- * ({@code attained}) and a request ends when that figure reaches its own mark. Whatever changes the rate (a
- * start, an end, a pause, a neighbour, warming up) first brings {@code attained} up to date.
+ * <p>Every running request progresses at one rate, so the work that each has had since the start is one
+ * figure ({@code attained}) and a request ends when that figure reaches its own mark. Whatever changes the
+ * rate (a start, an end, a pause, a neighbour, warming up) first brings {@code attained} up to date.
  *
  * <p>Work is counted in microseconds of one core of speed 1.
  */
@@ -307,6 +307,45 @@
         return Math.min(1, machine.coldFrom() + (1 - machine.coldFrom()) * part);
     }
 
+    /**
+     * Work that is still to be done of the requests that it holds, without what memory of keys will spare.
+     */
+    double workAhead() {
+        advance();
+        double ahead = 0;
+        for (Job job : running) {
+            ahead += job.mark - attained;
+        }
+        for (Job job : waiting) {
+            ahead += job.work;
+        }
+        return ahead;
+    }
+
+    /** Work that a core does in a microsecond at this moment; 0 while it answers nothing. */
+    double coreSpeed() {
+        return hung || pauses > 0 || stopped ? 0 : machine.speed() * warmth() * efficiency() * (1 - taken) / slow
+                / (lingering ? machine.linger().slower() : 1);
+    }
+
+    /** Part of a request's work that is left where its key was met lately; 1 where not. */
+    double workLeftOf(String key) {
+        Long last = key == null || machine.keyMemoryUs() == 0 ? null : keys.get(key);
+        return last != null && time.now() - last <= machine.keyMemoryUs() ? 1 - machine.keySaving() : 1;
+    }
+
+    /**
+     * Whether something is wrong with it beside load and cold: it hangs, is slowed, shares its machine, or
+     * errs.
+     */
+    boolean troubled() {
+        return hung || slow > 1 || taken > 0 || lingering || errors > machine.errors();
+    }
+
+    boolean hung() {
+        return hung;
+    }
+
     // ---- connections and probes ----------------------------------------------------------------------
 
     /** A client connects; false if it holds all the connections that it takes. */
@@ -551,8 +590,7 @@
 
     /** Sets the rate that holds from now on, and when the next request ends by it. */
     private void settle() {
-        double all = hung || pauses > 0 ? 0 : machine.speed() * warmth() * efficiency() * (1 - taken) / slow
-                / (lingering ? machine.linger().slower() : 1);
+        double all = coreSpeed();
         rate = running.isEmpty() ? 0 : all * Math.min(1.0, (double) machine.cores() / running.size());
         if (rate > 0) {
             double left = Math.max(0, running.peek().mark - attained) / rate;
--- a/src/main/java/mulleinfront/emulator/ServiceReport.java
+++ b/src/main/java/mulleinfront/emulator/ServiceReport.java
@@ -22,11 +22,12 @@
  * @param counts further counts, by name
  * @param servers what each server saw, by name
  * @param faults what happened, and when
+ * @param losses what was not served within its aim, by cause
  */
 public record ServiceReport(double service, double whole, double worstWindow, double worstClass,
         double worstTenant, Map<String, Double> prices, long asks, List<Part> classes, List<Part> tenants,
         List<Window> windows, Map<String, Long> tries, Map<String, Long> outcomes, Map<String, Long> counts,
-        List<Server> servers, List<Happened> faults) {
+        List<Server> servers, List<Happened> faults, LossReport losses) {
 
     /**
      * A class or tenant.
--- a/src/main/java/mulleinfront/emulator/Stage.java
+++ b/src/main/java/mulleinfront/emulator/Stage.java
@@ -10,20 +10,22 @@
 import mulleinfront.Balancer.Source;
 
 /**
- * A world whose client proxies are elsewhere, as processes say, and whose time is somebody else's clock: the same
- * servers, clients, discovery, faults, auditor and report, with {@link Outside} carrying messages in and out. One
- * thread calls it, and before each call it is brought up to date by {@link #runUntil}. What passes the network here is
- * delayed as the scenario says, beside what the real way takes.
+ * A world whose client proxies are elsewhere, as processes say, and whose time is somebody else's clock: the
+ * same servers, clients, discovery, faults, auditor and report, with {@link Outside} carrying messages in and
+ * out. One thread calls it, and before each call it is brought up to date by {@link #runUntil}. What passes
+ * the network here is delayed as the scenario says, beside what the real way takes.
  *
- * <p>It sees what the stand-ins see: an attempt counts when its last byte has come, and how an attempt that the client
- * proxy gave up ended is not known, so it may have run.
+ * <p>It sees what the stand-ins see: an attempt counts when its last byte has come, and how an attempt that
+ * the client proxy gave up ended is not known, so it may have run.
  */
 public final class Stage {
-    /** How long an id is remembered after its try was made: attempts come no later than the longest patience. */
+    /**
+     * How long an id is remembered after its try was made: attempts come no later than the longest patience.
+     */
     private static final long REMEMBERED_US = 30_000_000;
     /**
-     * What was sent, or closed, may not have been read yet. An attempt beside an earlier one that seems out, and the
-     * death of a client proxy, are looked at so much later.
+     * What was sent, or closed, may not have been read yet. An attempt beside an earlier one that seems out,
+     * and the death of a client proxy, are looked at so much later.
      */
     private static final long CLOSING_US = 20_000;
 
@@ -91,7 +93,7 @@
     public Stage(Scenario scenario, long seed, long slackUs, Outside outside) {
         this.outside = outside;
         this.ancient = new boolean[scenario.proxies().count()];
-        this.world = new World(scenario.withSlack(slackUs), seed, new Trace(null), Balancer::create, Fitting.PLAIN,
+        this.world = new World(scenario.withSlack(slackUs), seed, new Trace(null), (w, zone) -> Balancer::create, Fitting.PLAIN,
                 this);
         this.world.audit.leaveSlack(slackUs);
     }
@@ -139,7 +141,8 @@
     }
 
     /**
-     * A process has ended. What it had sent until then may still be on its way, and no new one is up that soon.
+     * A process has ended. What it had sent until then may still be on its way, and no new one is up that
+     * soon.
      *
      * @param killed whether it had no time to answer what it had taken
      */
@@ -197,6 +200,7 @@
         Sent s = tries.get(id);
         if (s != null) {
             world.audit.taken(s.proxy, id, s.t.call.classIndex(), world.queue.now(), s.t.deadlineAt);
+            world.account.taken(id);
         }
     }
 
@@ -216,6 +220,7 @@
             world.clients.answered(s.t, Clients.How.SERVED, 0);
         } else if (status == 429 || status == 503) {
             world.audit.refused(s.proxy, id, now);
+            world.account.refused(id);
             world.clients.answered(s.t, Clients.How.REFUSED, retryAfterUs);
         } else {
             world.audit.failed(s.proxy, id, now);
@@ -223,7 +228,10 @@
         }
     }
 
-    /** A connection that had carried others closed as this try was written to it: if nothing came of it, nobody took it. */
+    /**
+     * A connection that had carried others closed as this try was written to it: if nothing came of it,
+     * nobody took it.
+     */
     public void crossed(String id) {
         Sent s = tries.get(id);
         if (s != null && s.attempts == 0) {
@@ -231,7 +239,10 @@
         }
     }
 
-    /** An answer came on a connection that waits for none, after the one to this request, or to nothing at all (null). */
+    /**
+     * An answer came on a connection that waits for none, after the one to this request, or to nothing at all
+     * (null).
+     */
     public void answeredAgain(int proxy, String id) {
         world.audit.failed(proxy, String.valueOf(id), world.queue.now());
     }
@@ -337,6 +348,7 @@
                 return;
             }
             Request r = new Request(this, s, s.attempts++, reply);
+            world.account.sent(id, r.number, host);
             Request before = s.out;
             s.out = r;
             current = r;
@@ -449,6 +461,7 @@
             if (!over) {
                 over = true;
                 world.audit.attemptEnded(connection.proxy, sent.t.call.id(), number, outcome, world.queue.now());
+                world.account.attemptEnded(sent.t.call.id(), number, connection.host, outcome);
                 world.tally.outcome(outcome);
             }
         }
--- a/src/main/java/mulleinfront/emulator/Sweep.java
+++ b/src/main/java/mulleinfront/emulator/Sweep.java
@@ -8,10 +8,11 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
+import mulleinfront.emulator.reference.Reference;
 
 /**
- * One scenario under many seeds. Each world is played whole on one thread and shares nothing with the others, and
- * what is said of them goes by their seeds, so nothing depends on how many are played at once.
+ * One scenario under many seeds. Each world is played whole on one thread and shares nothing with the others,
+ * and what is said of them goes by their seeds, so nothing depends on how many are played at once.
  */
 public final class Sweep {
     private Sweep() { }
@@ -29,11 +30,12 @@
     /**
      * Plays seeds {@code from} to {@code to}, both included.
      *
+     * @param balancer the reference balancer to play with, or null: the product
      * @param jobs worlds at once, at least 1
      * @param progress told of each world when it is done, in the order of the seeds
      */
-    public static List<Played> play(Scenario scenario, long from, long to, int jobs, Consumer<Played> progress)
-            throws InterruptedException {
+    public static List<Played> play(Scenario scenario, long from, long to, int jobs, Reference balancer,
+            Consumer<Played> progress) throws InterruptedException {
         ExecutorService pool = Executors.newFixedThreadPool(jobs, task -> {
             Thread thread = new Thread(task, "world");
             thread.setDaemon(true);
@@ -43,7 +45,7 @@
             List<Future<Played>> worlds = new ArrayList<>();
             for (long seed = from; seed <= to; seed++) {
                 long one = seed;
-                worlds.add(pool.submit(() -> play(scenario, one)));
+                worlds.add(pool.submit(() -> play(scenario, one, balancer)));
             }
             List<Played> all = new ArrayList<>();
             for (Future<Played> world : worlds) {
@@ -59,8 +61,10 @@
         }
     }
 
-    private static Played play(Scenario scenario, long seed) {
-        World.Result r = World.of(scenario, seed, null).play();
+    private static Played play(Scenario scenario, long seed, Reference balancer) {
+        World world = balancer == null ? World.of(scenario, seed, null)
+                : World.under(balancer, scenario, seed);
+        World.Result r = world.play();
         return new Played(seed, r.service().service(), r.goodput(), r.fell(), r.breachCount(),
                 r.breaches().isEmpty() ? null : r.breaches().get(0).toString(), r.sha256());
     }
--- a/src/main/java/mulleinfront/emulator/Tally.java
+++ b/src/main/java/mulleinfront/emulator/Tally.java
@@ -93,7 +93,7 @@
         happened.add(new ServiceReport.Happened(now, f.forUs(), Section.form(f.kind()) + whom));
     }
 
-    private double worth(Clients.Ask a) {
+    double worth(Clients.Ask a) {
         return a.type.worth() * (a.overShare ? scenario.overShareWorth() : 1);
     }
 
@@ -123,12 +123,16 @@
         tries[how.ordinal()]++;
     }
 
-    /** A request is over for its client, by this answer or without one. */
-    void over(Clients.Ask a, boolean served, long now) {
+    /**
+     * A request is over for its client, by this answer or without one.
+     *
+     * @return what it was worth and has not earned
+     */
+    double over(Clients.Ask a, boolean served, long now) {
         RequestClass type = a.type;
         if (!served) {
             lateWorth += now > a.aimAt() ? worth(a) : 0;
-            return;
+            return worth(a);
         }
         boolean inTime = now <= a.aimAt();
         double worth = worth(a) * (inTime ? 1 : type.lateWorth());
@@ -139,6 +143,7 @@
             tenants[a.tenant].served(worth, a.overShare, us, inTime);
         }
         window(a.bornAt).served(worth, a.overShare, us, inTime);
+        return inTime ? 0 : worth(a) - worth;
     }
 
     void sent(boolean withinZone) {
@@ -194,7 +199,7 @@
                 parts(tenants, i -> scenario.tenants().get(i).name(), true), windowParts(),
                 names(tries, i -> Section.form(Clients.How.values()[i])),
                 names(outcomes, i -> Section.form(Outcome.values()[i])), counts(world), servers,
-                List.copyOf(happened));
+                List.copyOf(happened), world.account.report());
     }
 
     /** The worst stretch of the stated length, by steps of half of it, where enough was asked to judge. */
--- a/src/main/java/mulleinfront/emulator/Trace.java
+++ b/src/main/java/mulleinfront/emulator/Trace.java
@@ -208,6 +208,12 @@
             module.onAttemptEnded(now, e);
         }
 
+        @Override
+        public void onReport(long now, String endpointId, double held) {
+            begin(now, proxy, "report").word(endpointId).word((long) held).end();
+            module.onReport(now, endpointId, held);
+        }
+
         @Override
         public void onProbeEnded(long now, String endpointId, Outcome outcome, long lagUs) {
             begin(now, proxy, "probed").word(endpointId).word(outcome.name()).word(lagUs).end();
--- a/src/main/java/mulleinfront/emulator/World.java
+++ b/src/main/java/mulleinfront/emulator/World.java
@@ -9,10 +9,12 @@
 import mulleinfront.Balancer.Availability;
 import mulleinfront.Balancer.DedupScope;
 import mulleinfront.core.Core;
+import mulleinfront.emulator.reference.Reference;
+import mulleinfront.emulator.reference.Truth;
 
 /**
- * A world on virtual time: client proxies (the real core and module, sharing nothing), servers, clients, network
- * and discovery on one queue of events and one seed. It is played once, on one thread.
+ * A world on virtual time: client proxies (the real core and module, sharing nothing), servers, clients,
+ * network and discovery on one queue of events and one seed. It is played once, on one thread.
  */
 public final class World {
     final Scenario scenario;
@@ -23,6 +25,7 @@
     final Registry registry;
     final Auditor audit;
     final Tally tally;
+    final Account account;
     final Trace trace;
     final List<Host> hosts = new ArrayList<>();
     final List<Instance> proxies = new ArrayList<>();
@@ -33,19 +36,25 @@
     private final List<Host> byAddress = new ArrayList<>();
     private final Map<Object, ServerModel.Group> groups = new LinkedHashMap<>();
 
+    /** Makes the modules of a world's client proxies. */
+    interface Makers {
+        /** What makes the module of one of them, in its zone, at each of its starts. */
+        Core.Maker in(World world, int zone);
+    }
+
     /**
      * @param trace where the decisions go
      * @param maker makes each client proxy's module; a test's own can be broken on purpose
      * @param fitting joins each core with its parts; a test's own can be broken on purpose
      */
     World(Scenario scenario, long seed, Trace trace, Core.Maker maker, Fitting fitting) {
-        this(scenario, seed, trace, maker, fitting, null);
+        this(scenario, seed, trace, (world, zone) -> maker, fitting, null);
     }
 
     /**
      * @param outside where the client proxies are and servers listen, or null: all of it is in here
      */
-    World(Scenario scenario, long seed, Trace trace, Core.Maker maker, Fitting fitting, Stage outside) {
+    World(Scenario scenario, long seed, Trace trace, Makers makers, Fitting fitting, Stage outside) {
         this.outside = outside;
         this.fitting = fitting;
         this.scenario = scenario;
@@ -55,10 +64,11 @@
         this.network = new Network(scenario.network(), scenario.zones().size(), chance("network"));
         this.audit = new Auditor(scenario);
         this.tally = new Tally(scenario);
+        this.account = new Account(this);
         this.registry = new Registry(this, chance("discovery"));
         buildHosts();
         if (outside == null) {
-            startProxies(maker);
+            startProxies(makers);
         } else {
             for (int i = 0; i < scenario.proxies().count(); i++) {
                 proxies.add(outside.instance(i));
@@ -74,6 +84,24 @@
         return new World(scenario, seed, new Trace(traceFile), Balancer::create, Fitting.PLAIN);
     }
 
+    /** The same with a reference balancer in place of the module. */
+    public static World under(Reference balancer, Scenario scenario, long seed) {
+        return new World(scenario, seed, new Trace(null), makers(balancer), Fitting.PLAIN, null);
+    }
+
+    private static Makers makers(Reference balancer) {
+        if (balancer.seesLateUs() < 0) {
+            return (world, zone) -> (settings, seed, now, actions) -> balancer.make(settings, seed, actions, null);
+        }
+        // One look at the servers is for all that see them.
+        TrueState[] state = {null};
+        return (world, zone) -> {
+            state[0] = state[0] == null ? new TrueState(world, balancer.seesLateUs()) : state[0];
+            Truth truth = state[0].from(zone);
+            return (settings, seed, now, actions) -> balancer.make(settings, seed, actions, truth);
+        };
+    }
+
     Chance chance(String concern) {
         return Chance.of(seed, concern);
     }
@@ -117,11 +145,11 @@
         return proxy % scenario.zones().size();
     }
 
-    private void startProxies(Core.Maker maker) {
+    private void startProxies(Makers makers) {
         Scenario.Proxies spec = scenario.proxies();
         Chance chance = chance("starts");
         for (int i = 0; i < spec.count(); i++) {
-            Proxy p = new Proxy(this, i, zoneOf(i), trace.around(maker, i, queue));
+            Proxy p = new Proxy(this, i, zoneOf(i), trace.around(makers.in(this, zoneOf(i)), i, queue));
             proxies.add(p);
             queue.after((long) (spec.startWithinUs() * chance.unit()), () -> p.start(known()));
         }
@@ -288,7 +316,10 @@
     public record Result(Scenario scenario, long seed, ServiceReport service, List<Auditor.Breach> breaches,
             int breachCount, String sha256, long decisions, long events, double capacity) {
 
-        /** Work of the answers that clients were given, as a part of all that the servers can do warm and undisturbed. */
+        /**
+         * Work of the answers that clients were given, as a part of all that the servers can do warm and
+         * undisturbed.
+         */
         public double goodput() {
             double work = 0;
             for (int i = 0; i < scenario.classes().size(); i++) {
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -36,6 +36,7 @@
 import java.util.function.IntSupplier;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.core.Wire;
+import mulleinfront.settings.LoadReport;
 
 /**
  * Connections to hosts, one request at a time on each, and the attempts made on them. It resends nothing:
@@ -55,12 +56,18 @@
     private static final long LEAST_IDLE_NANOS = 100_000_000;
     private static final double IDLE_CUT = 0.8;
     private static final double IDLE_GROW = 1.1;
-    /** An answer of unknown length is passed on as it comes if it is not whole this long after its first bytes. */
+    /**
+     * An answer of unknown length is passed on as it comes if it is not whole this long after its first
+     * bytes.
+     */
     private static final long BEGIN_MS = 30;
     /** What may wait to be written on a connection before the other one is read no further, bytes. */
     static final WriteBufferWaterMark WAITING = new WriteBufferWaterMark(16 * 1024, 48 * 1024);
 
-    /** Buffers count as heap, which is bounded once and for all, and need no pool at this traffic, nor a search for leaks. */
+    /**
+     * Buffers count as heap, which is bounded once and for all, and need no pool at this traffic, nor a
+     * search for leaks.
+     */
     static final UnpooledByteBufAllocator BUFFERS = new UnpooledByteBufAllocator(false, true);
 
     private final EventLoop loop;
@@ -107,7 +114,9 @@
         final String id;
         InetSocketAddress address;
         boolean ready;
-        /** Idle connections that have rested, the last used first, and those that rest, the first used first. */
+        /**
+         * Idle connections that have rested, the last used first, and those that rest, the first used first.
+         */
         private final ArrayDeque<Connection> idle = new ArrayDeque<>();
         private final ArrayDeque<Connection> resting = new ArrayDeque<>();
 
@@ -395,6 +404,8 @@
         /** The rest of the answer, once that is passed on as it comes. */
         private Flow download;
         private long bodyBytes;
+        /** What the answer's head says of the host's load; null if nothing. */
+        private String load;
         /** How long the body is by its head; -1 if that does not say. */
         private long stated;
 
@@ -531,6 +542,7 @@
 
         private void begin(HttpResponse response) {
             head = response;
+            load = response.headers().get(LoadReport.HEADER);
             int status = response.status().code();
             boolean interimToo = status < 200 && status != 101 && ++interim <= MOST_INTERIM;
             bodyBytes = 0;
@@ -581,6 +593,8 @@
             Attempt ended = current;
             Outcome how = outcome;
             Answer what = answer;
+            String said = load;
+            load = null;
             current = null;
             outcome = null;
             answer = null;
@@ -606,6 +620,10 @@
                 if (ended.idleFor > 0) {
                     learnIdle(ended.idleFor, false);
                 }
+                double held = LoadReport.held(said);
+                if (held >= 0) {
+                    ended.end.reported(held);
+                }
                 ended.connection = null;
                 ended.finish(how, what);
             }
--- a/src/main/java/mulleinfront/settings/SettingsReader.java
+++ b/src/main/java/mulleinfront/settings/SettingsReader.java
@@ -77,7 +77,10 @@
         return names;
     }
 
-    /** Requests a second that the tenants together may send to one instance, by their allowances; 0 if none are given. */
+    /**
+     * Requests a second that the tenants together may send to one instance, by their allowances; 0 if none
+     * are given.
+     */
     public double requestsPerS() {
         double all = 0;
         for (Object o : list(root, "customers")) {
@@ -114,7 +117,8 @@
                         retryAfter ? (long) number(limits, "maxRetryAfterUs", 0) : 0,
                         (long) number(limits, "connIdleUs", 15_000_000)),
                 new Contract((long) number(contract, "askWithinUs", 10_000_000),
-                        number(contract, "coldFrom", 1), (long) number(contract, "coldUs", 0)));
+                        number(contract, "coldFrom", 1), (long) number(contract, "coldUs", 0),
+                        number(contract, "overloadFactor", 2)));
     }
 
     private static RequestClass requestClass(Map<String, Object> c) {
--- a/src/test/java/mulleinfront/benchlink/AdapterTest.java
+++ b/src/test/java/mulleinfront/benchlink/AdapterTest.java
@@ -55,9 +55,20 @@
         assertFalse(lines[2].contains("FORWARD"), lines[2]);
     }
 
+    @Test
+    void reportsOfAllFormsAreReadOrPassedOver() throws IOException {
+        for (String report : new String[] {"{\"outstanding\":7}", "{\"x0\":1}", "{}", "[[\"outstanding\",7]]", "7"}) {
+            String out = play(batch(10, BOOT + "," + LIST) + batch(5010, order("01")) + batch(9010, "{\"m\":\"ENDED\","
+                    + "\"xid\":\"01\",\"host\":\"10.0.0.1:80\",\"report\":" + report + ",\"outcome\":\"Ok\","
+                    + "\"complete\":true,\"hop\":0,\"lagUs\":4000}") + batch(9020, order("02")));
+            assertTrue(out.contains("\"xid\":\"02\"") && !out.contains("CRASH"), report + ": " + out);
+        }
+    }
+
     @Test
     void oddButLegalBatchesAreUnderstood() throws IOException {
-        // Fields in another order, a group twice, a table replaced in one batch, events of an unknown instance.
+        // Fields in another order, a group twice, a table replaced in one batch, events of an unknown
+        // instance.
         String odd = "{\"proxys\":[{\"in\":[" + BOOT + "," + LIST + "],\"i\":1},{\"i\":9,\"in\":[" + order("00") + "]},"
                 + "{\"i\":1,\"in\":[" + LIST.replace("10.0.0.1", "10.0.0.2").replace("cached", "full") + ","
                 + order("01") + "]}],\"more\":{\"x\":[]},\"wallUs\":77}\n";
--- a/src/test/java/mulleinfront/emulator/Broken.java
+++ b/src/test/java/mulleinfront/emulator/Broken.java
@@ -79,6 +79,11 @@
             real.onAttemptEnded(now, end);
         }
 
+        @Override
+        public void onReport(long now, String endpointId, double held) {
+            real.onReport(now, endpointId, held);
+        }
+
         @Override
         public void onProbeEnded(long now, String endpointId, Outcome outcome, long lagUs) {
             real.onProbeEnded(now, endpointId, outcome, lagUs);
--- a/src/test/java/mulleinfront/proxy/BadHostsTest.java
+++ b/src/test/java/mulleinfront/proxy/BadHostsTest.java
@@ -44,6 +44,27 @@
         assertEquals(Outcome.QUEUE_FULL, outcome(s -> s.answer(504, "X-Not-Run: 1\r\n", ""), 0).outcome());
     }
 
+    @Test
+    void whatAHostSaysOfItsLoadIsToldAheadOfTheOutcomeThatBroughtIt() throws Exception {
+        outcome(s -> s.answer(200, "X-Load: {\"outstanding\":4.5}\r\n", "x"), 0);
+        assertEquals("s holds 4.5", module.told.poll());
+        assertEquals("OK", module.told.poll());
+    }
+
+    @Test
+    void oneThatTurnsARequestAwaySaysItToo() throws Exception {
+        outcome(s -> s.answer(503, "X-Not-Run: 1\r\nX-Load: {\"inflight\":0}\r\n", ""), 0);
+        assertEquals("s holds 0.0", module.told.poll());
+        assertEquals("QUEUE_FULL", module.told.poll());
+    }
+
+    @Test
+    void aLoadReportThatCantBeReadCostsNothing() throws Exception {
+        // Guards against a defect of the report becoming one of the answer, which is good.
+        assertEquals(Outcome.OK, outcome(s -> s.answer(200, "X-Load: {\"outstanding\":\r\n", "x"), 0).outcome());
+        assertEquals("OK", module.told.poll());
+    }
+
     @Test
     void aMarkOnAnErrorProvesNothing() throws Exception {
         assertEquals(Outcome.FAILED, outcome(s -> s.answer(500, "X-Not-Run: 1\r\n", ""), 0).outcome());
--- a/src/test/java/mulleinfront/proxy/ProxyRig.java
+++ b/src/test/java/mulleinfront/proxy/ProxyRig.java
@@ -36,6 +36,8 @@
         final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
         final BlockingQueue<String> gone = new LinkedBlockingQueue<>();
         final BlockingQueue<Outcome> probes = new LinkedBlockingQueue<>();
+        /** Reports and ends of attempts, in the order in which they were told. */
+        final BlockingQueue<String> told = new LinkedBlockingQueue<>();
         volatile Consumer<Request> onRequest = r -> { };
         volatile Consumer<AttemptEnd> onEnd = e -> { };
         volatile Actions actions;
@@ -65,8 +67,14 @@
         @Override
         public void onStreamStarted(long now, String requestId, int attempt) { }
 
+        @Override
+        public void onReport(long now, String endpointId, double held) {
+            told.add(endpointId + " holds " + held);
+        }
+
         @Override
         public void onAttemptEnded(long now, AttemptEnd end) {
+            told.add(end.outcome().name());
             ends.add(end);
             onEnd.accept(end);
         }
