--- a/src/main/java/mulleinfront/Balancer.java
+++ b/src/main/java/mulleinfront/Balancer.java
@@ -51,12 +51,21 @@
      */
     default void onReport(long now, String endpointId, double held) { }
 
+    /** Whom to tell why requests are not served; null, as at the start: nobody, at no cost. */
+    default void observe(Observer observer) { }
+
     /** A probe ended, {@code lagUs} after it was asked for. Unknown endpoints are ignored. */
     void onProbeEnded(long now, String endpointId, Outcome outcome, long lagUs);
 
     /** The time last asked for by {@link Actions#wakeAt} has come; an early or extra call does no harm. */
     void onTimer(long now);
 
+    /** Told of what was decided and why. It is called in the midst of a decision and may not call back. */
+    interface Observer {
+        /** A request has had its last word without being served, by refusal or failure. */
+        void ended(long now, Refusal why);
+    }
+
     /** Where decisions go. Calls come only from within an event method. */
     interface Actions {
         /** Starts an attempt; attempts of a request are numbered from 0 in the order of these calls. */
--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -71,7 +71,7 @@
     private static final double ADMIT_CUT = 0.4;
     private static final double ADMIT_GROW = 0.05;
     /** Admissions that may be saved up; the lower a request's worth, the more must be left after it. */
-    private static final double MOST_SAVED = 3;
+    static final double MOST_SAVED = 3;
     /** Growth of a limit in use: attempts for each limit of good answers (each one until the first cut). */
     private static final double GROW = 0.5;
     private static final double REGAIN = 0.2;
@@ -93,7 +93,7 @@
     /**
      * The same where many instances go by what endpoints report: a hot key needs as many as it has work for.
      */
-    private static final int REPORTED_OWNERS = 8;
+    static final int REPORTED_OWNERS = 8;
     /**
      * Part of the aim that an endpoint's queue may take before some requests pass it by, and before all do.
      */
@@ -163,7 +163,7 @@
 
     // ---- state ---------------------------------------------------------------------------------------
 
-    private final Settings settings;
+    final Settings settings;
     private final Actions out;
     private final SplittableRandom random;
     private final HashMap<String, Node> nodes = new HashMap<>();
@@ -173,16 +173,16 @@
     /** Requests on hold, the worthiest first, then the oldest. */
     private final TreeSet<Req> held = new TreeSet<>(
             Comparator.comparingDouble((Req r) -> -r.worth).thenComparingLong(r -> r.order));
-    private final Ring<Node> ring = new Ring<>();
+    final Ring<Node> ring = new Ring<>();
     /** Listed endpoints in order of listing; one is taken out without a look at the others. */
-    private final LinkedHashSet<Node> listed = new LinkedHashSet<>();
+    final LinkedHashSet<Node> listed = new LinkedHashSet<>();
     private final double[] meanLag;
-    private final double[] usualLag;
+    final double[] usualLag;
     /** Mean deviation of a class's lag: from jitter and from our own queue as much as from the endpoint's. */
     private final double[] deviation;
     private final double[] whole;
     private final double[] tenantRecent;
-    private final double mostWorth;
+    final double mostWorth;
     private final Effect safest;
     private final boolean many;
     /** Tells the lots of many instances apart: those of the first request of a key would all be one. */
@@ -192,22 +192,22 @@
     private double tenantTotal;
     private long tenantAt;
     /** Capacity of all usable endpoints, and what was asked for of late; see {@link #weigh}. */
-    private double capacity;
+    double capacity;
     private double offered;
     /** The best of the listed kinds' ratios when last weighed. */
     private double bestKind = 1;
     /** Listed weight of all endpoints, and of the ejected ones among them. */
-    private double weight;
+    double weight;
     private double ejectedWeight;
     /** Part of the latest answers, over all endpoints, that were late or lost. */
-    private double strain;
+    double strain;
     /** Part of the endpoints heard of late whose last answer was late or lost: each counts once. */
-    private double lateShare;
+    double lateShare;
     private long weighedAt = Long.MIN_VALUE / 2;
     /** Share of requests admitted, from all answers alike, and admissions saved up. */
-    private double admitted = 1;
-    private double saved = MOST_SAVED;
-    private double retryTokens = RETRY_MOST / 2;
+    double admitted = 1;
+    double saved = MOST_SAVED;
+    double retryTokens = RETRY_MOST / 2;
     private long sends;
     /**
      * Attempts asked for, sent or not: what a cold endpoint's part is reckoned by where instances are many.
@@ -220,8 +220,10 @@
     private long reportedAt = Long.MIN_VALUE / 2;
     private boolean reports;
     private Node opening;
-    private int walk;
+    int walk;
     private long requests;
+    final long bornAt;
+    private Observer observer;
     private long wakeAt = Long.MAX_VALUE;
     private long wokeAt = Long.MIN_VALUE / 2;
     private long nextSweep;
@@ -250,6 +252,7 @@
         this.safest = settings.classes().stream().map(RequestClass::effect).sorted().iterator().next();
         this.many = settings.instances() > MANY;
         this.salt = many ? seed : 0;
+        this.bornAt = now;
         this.tenantAt = now;
         this.nextSweep = now + SWEEP_US;
         this.askAt = now;
@@ -317,7 +320,9 @@
         asking = false;
         subscribed = false;
         askAt = now + (long) (askWait * (0.5 + random.nextDouble()));
-        askWait = Math.min(2 * askWait, Math.max(ASK_AGAIN_US, settings.contract().askWithinUs() / 4));
+        // Many that go on asking keep discovery too busy to answer any of them.
+        askWait = Math.min(2 * askWait, many ? settings.contract().askWithinUs()
+                : Math.max(ASK_AGAIN_US, settings.contract().askWithinUs() / 4));
         arm(now);
     }
 
@@ -496,20 +501,23 @@
      * that the whole fleet can do when warm asked for, however few others are left.
      */
     private boolean coldAdmits(Node n, long now) {
-        if (!n.cold) {
-            return true;
+        if (n.cold) {
+            fullWeight = Math.max(fullWeight, weight);
+            n.credit = credit(n, now);
+            n.creditAt = many ? wanted : sends;
         }
+        return !n.cold || n.credit >= 1;
+    }
+
+    /** What a cold endpoint may be sent at this moment, in requests. */
+    double credit(Node n, long now) {
         double own = size(n) * ramp(n, now);
         double part = own / Math.max(capacity, own);
-        long made = many ? wanted : sends;
         if (many) {
-            fullWeight = Math.max(fullWeight, weight);
             double bears = COLD_PART * settings.contract().overload();
             part = Math.min(part, bears * own / Math.max(fullWeight, own));
         }
-        n.credit = Math.min(MOST_CREDIT, n.credit + part * (made - n.creditAt));
-        n.creditAt = made;
-        return n.credit >= 1;
+        return Math.min(MOST_CREDIT, n.credit + part * ((many ? wanted : sends) - n.creditAt));
     }
 
     // ---- load reports --------------------------------------------------------------------------------
@@ -532,7 +540,7 @@
         reportedAt = now;
     }
 
-    private double reportedByAll(long now) {
+    double reportedByAll(long now) {
         return reported * Math.exp(Math.min(0, reportedAt + UNHEARD_US - now) / UNHEARD_FADES_US);
     }
 
@@ -593,7 +601,7 @@
     }
 
     /** Whether the endpoint's limit leaves room; one under 1 is the share of requests that may go there. */
-    private boolean hasRoom(Node n, Req r, double part) {
+    boolean hasRoom(Node n, Req r, double part) {
         int size = n.outstanding.size();
         double room = part * n.limit;
         return room >= 1 ? size + 1 <= room : size == 0 && draw(r, n) < room;
@@ -728,7 +736,7 @@
         if (admits(r)) {
             place(r, now);
         } else {
-            finish(r);
+            finish(r, now, Refusal.Cause.ADMISSION);
         }
         arm(now);
     }
@@ -835,7 +843,7 @@
     /** Sends, unless the answer would come too late to earn anything. */
     private void dispatch(Req r, Node n, long now) {
         if (usualLag[r.in.classIndex()] > r.worthUntil() - now) {
-            finish(r);
+            finish(r, now, Refusal.Cause.TIME);
         } else {
             send(r, n, now);
         }
@@ -849,7 +857,7 @@
             held.add(r);
             nextHold = Math.min(nextHold, r.holdUntil);
         } else {
-            finish(r);
+            finish(r, now, null);
         }
     }
 
@@ -869,7 +877,7 @@
                 held.remove(r);
                 dispatch(r, n, now);
             } else if (over || !may) {
-                finish(r);
+                finish(r, now, null);
             } else {
                 stuck++;
                 nextHold = Math.min(nextHold, r.holdUntil);
@@ -904,7 +912,7 @@
     // ---- effects -------------------------------------------------------------------------------------
 
     /** The earliest attempt that may have run or may yet; it binds what may follow. */
-    private static Attempt bond(Req r) {
+    static Attempt bond(Req r) {
         for (Attempt a : r.attempts) {
             if (a.mayHaveRun()) {
                 return a;
@@ -913,13 +921,13 @@
         return null;
     }
 
-    private static boolean inGroup(Req r, Attempt bond, Node n) {
+    static boolean inGroup(Req r, Attempt bond, Node n) {
         return bond == null || r.type.effect() != Effect.DEDUP || r.type.scope() == DedupScope.ALL
                 || (r.type.scope() == DedupScope.ZONE ? n.zone == bond.node.zone : n.cell == bond.node.cell);
     }
 
     /** Whether a further attempt is harmless, has time, and the retry budget allows it. */
-    private boolean mayResend(Req r, long now) {
+    boolean mayResend(Req r, long now) {
         Attempt bond = bond(r);
         boolean harmless = bond == null || r.type.effect() == Effect.RETRYABLE
                 || r.type.effect() == Effect.DEDUP && now < bond.at + r.type.dedupWindowUs();
@@ -928,7 +936,7 @@
     }
 
     /** What a retry takes of the budget. */
-    private double cost(Attempt bond) {
+    double cost(Attempt bond) {
         return many && bond == null ? NEVER_RAN : 1;
     }
 
@@ -937,9 +945,16 @@
                 || r.type.effect() == Effect.DEDUP && r.type.scope() == DedupScope.ALL;
     }
 
-    /** The final answer where none was served. */
-    private void finish(Req r) {
+    /**
+     * The final answer where none was served.
+     *
+     * @param why null: nobody could take it, or it may not be sent again
+     */
+    private void finish(Req r, long now, Refusal.Cause why) {
         drop(r);
+        if (observer != null) {
+            observer.ended(now, Why.of(this, r, now, why));
+        }
         if (mayRefuse(r)) {
             out.refuse(r.in.id(), Math.min(settings.limits().maxRetryAfterUs(), r.type.aimUs() / 8));
         } else {
@@ -948,6 +963,11 @@
         r.attempts.forEach(this::cancel);
     }
 
+    @Override
+    public void observe(Observer who) {
+        observer = who;
+    }
+
     /** Stops waiting for an attempt that is out and may be cancelled. */
     private void cancel(Attempt a) {
         if (a.outcome == null && !a.canceled && !a.streaming && settings.limits().mayCancel()) {
@@ -1051,7 +1071,7 @@
         } else if (may && many) {
             hold(r, now);
         } else {
-            finish(r);
+            finish(r, now, null);
         }
     }
 
--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -18,6 +18,7 @@
 import mulleinfront.Balancer.RequestClass;
 import mulleinfront.Balancer.Settings;
 import mulleinfront.Balancer.Source;
+import mulleinfront.Refusal;
 
 /**
  * The life of requests in one client proxy. Events from the wires become the module's events, its decisions
@@ -47,8 +48,10 @@
     private boolean working;
     private Footprint footprint;
     private Balancer balancer;
+    private Balancer.Observer observer;
     private Time.Timer wake;
     private long lastAt = Long.MAX_VALUE;
+    private long bornAt;
 
     /** Makes the module; a test's own can do what the real one never would. */
     public interface Maker {
@@ -108,7 +111,14 @@
     /** Makes the module; to be called once, before any event, and followed by {@link #perform}. */
     public void begin(Maker maker, long seed) {
         footprint = new Footprint(settings.instances(), settings.contract().askWithinUs(), seed);
-        balancer = maker.create(settings, seed, time.now(), this);
+        bornAt = time.now();
+        balancer = maker.create(settings, seed, bornAt, this);
+    }
+
+    /** Whom to tell why requests are not served; to be called after {@link #begin}. */
+    public void observe(Balancer.Observer who) {
+        observer = who;
+        balancer.observe(who);
     }
 
     /**
@@ -275,6 +285,10 @@
     private void timeUp(Exchange<Q, A> x) {
         if (!x.answered) {
             over(x);
+            if (observer != null) {
+                observer.ended(time.now(), new Refusal(x.request.id(), Refusal.Cause.TIME,
+                        x.request.classIndex(), x.type.worth(), time.now() - bornAt, Double.NaN, "the guard"));
+            }
             boolean harmless = x.type.effect() == Effect.RETRYABLE || !x.mayHaveRun && x.out == null
                     || x.type.effect() == Effect.DEDUP && x.type.scope() == DedupScope.ALL;
             if (harmless) {
--- a/src/main/java/mulleinfront/core/Footprint.java
+++ b/src/main/java/mulleinfront/core/Footprint.java
@@ -19,8 +19,13 @@
     static final int LEAST_IDLE = 2;
     /** Probes a second that a host is to answer for all instances together. */
     static final double PROBES_PER_HOST = 10;
-    /** Calls a second to discovery by all instances together, when all call at once. */
-    static final double CALLS_PER_S = 500;
+    /**
+     * Calls a second to discovery by all instances together, when all call at once. Discovery works through calls in
+     * turn, and one that is given up has cost it as much: once more wait than it does within their patience, none is
+     * answered in time, and their repeats keep it so. Few a second are therefore the only figure that is safe: who
+     * waits a few seconds goes by the list it has.
+     */
+    static final double CALLS_PER_S = 20;
     /** Part of the time within which discovery must be asked that a call may be put off by. */
     static final double MOST_DELAY_PART = 0.5;
     /** Longest delay of a call by an instance that holds no list, microseconds: it can serve nobody until then. */
--- a/src/main/java/mulleinfront/emulator/FaultReader.java
+++ b/src/main/java/mulleinfront/emulator/FaultReader.java
@@ -71,8 +71,10 @@
             }
             case DISCOVERY_LATE -> on = s.times("by", null);
             case DISCOVERY_SHUFFLE -> factor = s.count("lists", 5, 2);
+            case DISCOVERY_CROWD -> factor = s.rate("calls", null);
             case SURGE -> factor = s.number("factor", null, 0);
-            case DRAIN, HANG, VANISH, CUT, DISCOVERY_DOWN, DISCOVERY_SILENT, KILL_PROXY, END_PROXY, BURST -> { }
+            case KILL_PROXY, END_PROXY -> on = s.times("within", NONE);
+            case DRAIN, HANG, VANISH, CUT, DISCOVERY_DOWN, DISCOVERY_SILENT, BURST -> { }
         }
         List<String> named = List.of();
         int count = -1;
@@ -87,7 +89,7 @@
                 }
             }
             zone = s.has("zone") ? place(s, "zone", world.zones()) : -1;
-            count = s.has("count") ? s.count("count", null, 1) : s.has("part") ? part(s) : -1;
+            count = s.has("count") ? s.count("count", null, 1) : s.has("part") ? part(s, world.fleet()) : -1;
             if (count > world.fleet()) {
                 throw s.wrong("count", "there are only " + world.fleet() + " servers");
             }
@@ -99,9 +101,10 @@
             }
         } else if (kind == Kind.KILL_PROXY || kind == Kind.END_PROXY) {
             proxy = s.has("proxy") ? s.count("proxy", null, 0) : -1;
-            count = s.has("count") ? s.count("count", null, 1) : -1;
+            count = s.has("count") ? s.count("count", null, 1)
+                    : s.has("part") ? part(s, world.proxies().count()) : -1;
             if (proxy < 0 == count < 0) {
-                throw s.wrong("names nobody: it needs either proxy (its number) or count");
+                throw s.wrong("names nobody: it needs either proxy (its number), count or part");
             }
             if (proxy >= world.proxies().count() || count > world.proxies().count()) {
                 throw s.wrong(proxy >= 0 ? "proxy" : "count",
@@ -116,8 +119,8 @@
                 moved);
     }
 
-    private int part(Section s) throws BadFileException {
-        return Math.max(1, (int) Math.round(s.share("part", null, 1) * world.fleet()));
+    private static int part(Section s, int of) throws BadFileException {
+        return Math.max(1, (int) Math.round(s.share("part", null, 1) * of));
     }
 
     private static int place(Section s, String key, List<String> names) throws BadFileException {
--- a/src/main/java/mulleinfront/emulator/Proxy.java
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -1,8 +1,11 @@
 package mulleinfront.emulator;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import mulleinfront.Balancer.Source;
 import mulleinfront.core.Caller;
 import mulleinfront.core.Core;
@@ -97,7 +100,7 @@
 
     @Override
     void gone(Clients.Try t) {
-        if (life != null && life.open.containsKey(t)) {
+        if (life != null && life.has(t)) {
             life.gone(t);
         }
     }
@@ -110,6 +113,13 @@
         private final Core<Call, Answer> core =
                 new Core<>(world.settings, this, world.fitting.wire(wire, this), world.audit::defect);
         private final Map<Clients.Try, Core.Exchange<Call, Answer>> open = new LinkedHashMap<>();
+        /** Tries that wait for the CPU before the core hears of them. */
+        private final Set<Clients.Try> waiting = new LinkedHashSet<>();
+        /** Tries whose answers wait for it. */
+        private final Set<Clients.Try> answering = new LinkedHashSet<>();
+        private final Scenario.Cpu cpu = world.scenario.proxies().cpu();
+        private long cpuFreeAt;
+        private long requests;
         private boolean alive = true;
         private boolean listening = true;
         private boolean ending;
@@ -121,6 +131,7 @@
         void begin(Registry.News known) {
             discovery.join(core, wire);
             core.begin(maker, chance.nextLong());
+            core.observe((now, why) -> world.unserved(number, now, why));
             discovery.take(known, Source.CACHED);
             if (!world.scenario.discovery().asked()) {
                 discovery.watch();
@@ -147,6 +158,25 @@
             long now = now();
             world.audit.taken(number, t.call.id(), t.call.classIndex(), now, t.deadlineAt);
             world.account.taken(t.call.id());
+            waiting.add(t);
+            onCpu(cpu.halfUs(requests++), () -> {
+                if (waiting.remove(t)) {
+                    toCore(t, now);
+                }
+            });
+        }
+
+        /** Work of the one thread, after what was there before it. */
+        private void onCpu(long us, Runnable then) {
+            if (us == 0) {
+                then.run();
+                return;
+            }
+            cpuFreeAt = Math.max(cpuFreeAt, now()) + us;
+            after(cpuFreeAt - now(), then);
+        }
+
+        private void toCore(Clients.Try t, long now) {
             core.take(world.fitting.caller(new Caller<Call, Answer>() {
                 @Override
                 public void opened(Core.Exchange<Call, Answer> exchange) {
@@ -155,8 +185,14 @@
 
                 @Override
                 public void served(Answer answer) {
-                    world.audit.served(number, t.call.id(), answer.requestId(), now());
-                    over(t, Clients.How.SERVED, 0);
+                    open.remove(t);
+                    answering.add(t);
+                    onCpu(cpu.halfUs(requests), () -> {
+                        if (answering.remove(t)) {
+                            world.audit.served(number, t.call.id(), answer.requestId(), now());
+                            over(t, Clients.How.SERVED, 0);
+                        }
+                    });
                 }
 
                 @Override
@@ -181,14 +217,24 @@
             endIfDone();
         }
 
+        private boolean has(Clients.Try t) {
+            return open.containsKey(t) || waiting.contains(t) || answering.contains(t);
+        }
+
         private void gone(Clients.Try t) {
             world.audit.left(number, t.call.id(), now());
-            core.gone(open.remove(t));
+            Core.Exchange<Call, Answer> exchange = open.remove(t);
+            if (exchange != null) {
+                core.gone(exchange);
+            }
+            waiting.remove(t);
+            answering.remove(t);
             endIfDone();
         }
 
         private void endIfDone() {
-            if (alive && ending && !listening && open.isEmpty() && life == this) {
+            if (alive && ending && !listening && open.isEmpty() && waiting.isEmpty() && answering.isEmpty()
+                    && life == this) {
                 life = null;
                 world.audit.proxyEnded(number, now());
                 end();
@@ -201,8 +247,12 @@
             listening = false;
             discovery.stop();
             wire.die();
-            List<Clients.Try> left = List.copyOf(open.keySet());
+            List<Clients.Try> left = new ArrayList<>(open.keySet());
+            left.addAll(waiting);
+            left.addAll(answering);
             open.clear();
+            waiting.clear();
+            answering.clear();
             left.forEach(t -> world.clients.answered(t, Clients.How.BROKEN, 0));
         }
     }
--- a/src/main/java/mulleinfront/emulator/Registry.java
+++ b/src/main/java/mulleinfront/emulator/Registry.java
@@ -37,6 +37,7 @@
     private final Set<Watcher> watches = new LinkedHashSet<>();
     private boolean announcing;
     private long busyUntil;
+    private double crowd;
     private boolean down;
     private boolean silent;
     private Range late = Range.of(0);
@@ -150,6 +151,24 @@
         shuffled.clear();
     }
 
+    /** Others call too, so many a second; they have patience to the end. */
+    void crowd(double perSecond) {
+        boolean begins = crowd == 0 && perSecond > 0;
+        crowd = perSecond;
+        if (begins) {
+            crowdCalls();
+        }
+    }
+
+    private void crowdCalls() {
+        if (crowd > 0) {
+            if (busyUntil - world.queue.now() <= spec.timeoutUs()) {
+                busyUntil = Math.max(busyUntil, world.queue.now()) + spec.callUs();
+            }
+            world.queue.after((long) chance.exponential(1e6 / crowd), this::crowdCalls);
+        }
+    }
+
     /** A call that asks for a watch. */
     void call(Watcher w) {
         calls++;
@@ -164,10 +183,16 @@
             return;
         }
         long cost = spec.asked() ? spec.callUs() : 0;
-        busyUntil = Math.max(busyUntil, now) + cost;
+        busyUntil = Math.max(busyUntil, now);
+        if (busyUntil - now > spec.timeoutUs()) {
+            failedCalls++;
+            world.queue.after(world.network.delay(w.zone(), 0), w::fail);
+            return;
+        }
+        // What was begun is worked through, also for one who has given up meanwhile.
+        busyUntil += cost;
         if (busyUntil - now > spec.timeoutUs()) {
             failedCalls++;
-            busyUntil -= cost;
             world.queue.after(spec.timeoutUs(), w::fail);
             return;
         }
--- a/src/main/java/mulleinfront/emulator/ReportWriter.java
+++ b/src/main/java/mulleinfront/emulator/ReportWriter.java
@@ -4,8 +4,11 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.Arrays;
 import java.util.Locale;
 import java.util.Map;
+import java.util.stream.Collectors;
+import mulleinfront.Refusal;
 import mulleinfront.emulator.ServiceReport.Part;
 
 /** A world's result as a page of text, and as JSON with the same figures. */
@@ -42,6 +45,7 @@
             line(out, "%8.0f s %8d %8.3f", w.atUs() / 1e6, w.asked(), w.share());
         }
         losses(out, s);
+        unserved(out, s);
         line(out, "");
         line(out, "tries ended:%s", counts(s.tries()));
         line(out, "attempts ended:%s", counts(s.outcomes()));
@@ -83,6 +87,21 @@
                         100 * e.getValue().worth() / asked));
     }
 
+    /** What client proxies say themselves of why they gave requests up. */
+    private static void unserved(StringBuilder out, ServiceReport s) {
+        if (Arrays.stream(Refusal.Cause.values()).allMatch(c -> s.unserved().of(c) == 0)) {
+            return;
+        }
+        line(out, "");
+        line(out, "%-30s %9s %9s  %s", "given up by client proxies", "requests", "young", "by window");
+        for (Refusal.Cause c : Refusal.Cause.values()) {
+            if (s.unserved().of(c) > 0) {
+                line(out, "%-30s %9d %9d  %s", c.words(), s.unserved().of(c), s.unserved().young(c),
+                        s.unservedIn().stream().map(w -> "" + w.of(c)).collect(Collectors.joining(" ")));
+            }
+        }
+    }
+
     /**
      * The same for each of its parts: a line for each instance, zone, class, tenant or window that lost
      * something.
@@ -182,6 +201,11 @@
             out.writeEndArray();
             counts(out, "tries", s.tries());
             counts(out, "attempts", s.outcomes());
+            out.writeObjectFieldStart("given_up");
+            for (Refusal.Cause c : Refusal.Cause.values()) {
+                out.writeNumberField(c.word(), s.unserved().of(c));
+            }
+            out.writeEndObject();
             counts(out, "counts", s.counts());
             out.writeArrayFieldStart("servers");
             for (ServiceReport.Server v : s.servers()) {
--- a/src/main/java/mulleinfront/emulator/Scenario.java
+++ b/src/main/java/mulleinfront/emulator/Scenario.java
@@ -52,7 +52,7 @@
      * @param silentNotice how late it knows of one that vanished without a word
      * @param period how late changes reach those who watch
      * @param callUs time it takes for one call; calls are worked through in turn
-     * @param timeoutUs a call that would wait longer fails
+     * @param timeoutUs a call that is not answered by then has failed
      */
     public record Discovery(boolean asked, Range notice, Range silentNotice, Range period, long callUs,
             long timeoutUs) { }
@@ -71,9 +71,27 @@
      * @param lateCallsUs how long after being told to end it goes on taking requests
      * @param killAfterUs time from being told to end until it is killed
      * @param connections connections to servers at most, each
+     * @param cpu what their own code costs
      */
     public record Proxies(int count, double spread, long startWithinUs, Known known, long knownAgeUs,
-            int ghosts, long startUs, long lateCallsUs, long killAfterUs, int connections) { }
+            int ghosts, long startUs, long lateCallsUs, long killAfterUs, int connections, Cpu cpu) { }
+
+    /**
+     * A client proxy's own code: half of a request's CPU is spent when it comes, half when its answer goes, one after
+     * the other. What is not compiled yet takes longer.
+     *
+     * @param core share of a core that each process has; 0: its code costs nothing
+     * @param coldUs CPU of a process's first request
+     * @param warmUs CPU of a request once the code is compiled
+     * @param warmAfter requests until then, the cost falling evenly
+     */
+    public record Cpu(double core, long coldUs, long warmUs, int warmAfter) {
+        /** Time that half of a process's nth request takes, microseconds. */
+        long halfUs(long nth) {
+            double cold = Math.max(0, 1 - (double) nth / warmAfter);
+            return core == 0 ? 0 : (long) ((warmUs + (coldUs - warmUs) * cold) / core / 2);
+        }
+    }
 
     /**
      * @param retries further tries of a request at most
@@ -155,7 +173,8 @@
     /** What can go wrong. */
     public enum Kind {
         SLOW, HANG, NEIGHBOUR, ERRORS, PAUSE, DRAIN, RESTART, DEPLOY, VANISH, CUT, RESET_BEFORE, RESET_AFTER,
-        DISCOVERY_DOWN, DISCOVERY_SILENT, DISCOVERY_LATE, DISCOVERY_SHUFFLE, KILL_PROXY, END_PROXY, SURGE, BURST
+        DISCOVERY_DOWN, DISCOVERY_SILENT, DISCOVERY_LATE, DISCOVERY_SHUFFLE, DISCOVERY_CROWD, KILL_PROXY, END_PROXY,
+        SURGE, BURST
     }
 
     /**
@@ -168,9 +187,9 @@
      * @param zone number of a zone, or -1
      * @param proxy number of a client proxy, or -1
      * @param tenant number of a tenant, or -1: all
-     * @param factor how many times slower or more; or how many lists
+     * @param factor how many times slower or more; or how many lists; or calls a second
      * @param share a part: of the machine, of the answers, of the fleet at a time
-     * @param on mean time on, for what comes and goes
+     * @param on mean time on, for what comes and goes; or the time within which it happens to all
      * @param off mean time off
      * @param drainUs how long a server drains before its process ends
      * @param moved whether a restarted server has another address
@@ -207,7 +226,7 @@
     public Scenario withProxies(int count) {
         Proxies p = new Proxies(count, proxies.spread(), proxies.startWithinUs(), proxies.known(),
                 proxies.knownAgeUs(), proxies.ghosts(), proxies.startUs(), proxies.lateCallsUs(),
-                proxies.killAfterUs(), proxies.connections());
+                proxies.killAfterUs(), proxies.connections(), proxies.cpu());
         return with(p, rules, faults);
     }
 
--- a/src/main/java/mulleinfront/emulator/ScenarioReader.java
+++ b/src/main/java/mulleinfront/emulator/ScenarioReader.java
@@ -156,7 +156,11 @@
                 s.time("start-within", 1_000_000L), s.word("known", Known.CURRENT, Known.class),
                 s.time("known-age", 30_000_000L), s.count("ghosts", 0, 0), s.time("start", 2_000_000L),
                 s.time("late-calls", 600_000L), s.time("kill-after", 4_700_000L),
-                s.count("connections", 400, 1));
+                s.count("connections", 400, 1), new Scenario.Cpu(s.number("core", 0.0, 0), s.time("cold-request", 0L),
+                s.time("warm-request", 0L), s.count("warm-after", 200, 1)));
+        if (p.cpu().core() == 0 && p.cpu().coldUs() + p.cpu().warmUs() > 0) {
+            throw s.wrong("core", "requests that take CPU need a share of a core: core = 0.5");
+        }
         if (p.ghosts() > 0 && p.known() != Known.STALE) {
             throw s.wrong("ghosts", "only a stale list names servers that are gone: known = \"stale\"");
         }
--- a/src/main/java/mulleinfront/emulator/Script.java
+++ b/src/main/java/mulleinfront/emulator/Script.java
@@ -45,8 +45,9 @@
                     both(f, () -> world.registry.late(f.on()), () -> world.registry.late(Range.of(0)));
             case DISCOVERY_SHUFFLE ->
                     both(f, () -> world.registry.shuffle((int) f.factor()), () -> world.registry.shuffle(0));
-            case KILL_PROXY -> proxies(f).forEach(Instance::kill);
-            case END_PROXY -> proxies(f).forEach(Instance::end);
+            case DISCOVERY_CROWD -> both(f, () -> world.registry.crowd(f.factor()), () -> world.registry.crowd(0));
+            case KILL_PROXY -> proxies(f).forEach(p -> within(f, p::kill));
+            case END_PROXY -> proxies(f).forEach(p -> within(f, p::end));
             case SURGE -> both(f, () -> world.clients.surge(f.tenant(), f.factor()),
                     () -> world.clients.surge(f.tenant(), 1));
             case BURST -> {
@@ -57,6 +58,14 @@
         }
     }
 
+    private void within(Fault f, Runnable what) {
+        if (f.on().high() == 0) {
+            what.run();
+        } else {
+            world.queue.after((long) f.on().draw(chance::between), what);
+        }
+    }
+
     /** What a fault does, and what ends it if it does not last to the end. */
     private void both(Fault f, Runnable on, Runnable off) {
         on.run();
--- a/src/main/java/mulleinfront/emulator/ServiceReport.java
+++ b/src/main/java/mulleinfront/emulator/ServiceReport.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import mulleinfront.core.Refusals;
 
 /**
  * What clients had of a world, counted as the operators define it: worth answered within the aim over worth
@@ -23,11 +24,13 @@
  * @param servers what each server saw, by name
  * @param faults what happened, and when
  * @param losses what was not served within its aim, by cause
+ * @param unserved why client proxies gave requests up; nothing where those are processes
+ * @param unservedIn the same by window
  */
 public record ServiceReport(double service, double whole, double worstWindow, double worstClass,
         double worstTenant, Map<String, Double> prices, long asks, List<Part> classes, List<Part> tenants,
         List<Window> windows, Map<String, Long> tries, Map<String, Long> outcomes, Map<String, Long> counts,
-        List<Server> servers, List<Happened> faults, LossReport losses) {
+        List<Server> servers, List<Happened> faults, LossReport losses, Refusals unserved, List<Refusals> unservedIn) {
 
     /**
      * A class or tenant.
--- a/src/main/java/mulleinfront/emulator/Tally.java
+++ b/src/main/java/mulleinfront/emulator/Tally.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.Balancer.RequestClass;
+import mulleinfront.Refusal;
+import mulleinfront.core.Refusals;
 import mulleinfront.settings.Section;
 
 /** Counts what a service report needs, as it happens. */
@@ -30,6 +32,9 @@
     private long triesMade;
     private int mostConnections;
     long probes;
+    /** Why client proxies gave requests up, in all and by window. */
+    private final Refusals unserved;
+    private final List<Refusals> unservedIn = new ArrayList<>();
 
     /** Worth asked for and earned, and times to the answer. */
     private static final class Sum {
@@ -82,6 +87,7 @@
         this.classes = new Sum[scenario.classes().size()];
         this.tenants = new Sum[scenario.tenants().size()];
         Arrays.setAll(classes, i -> new Sum());
+        this.unserved = refusals();
         Arrays.setAll(tenants, i -> new Sum());
     }
 
@@ -167,6 +173,19 @@
         lives.computeIfAbsent(host.id, id -> new ArrayList<>()).add(life);
     }
 
+    private Refusals refusals() {
+        return new Refusals(scenario.classes().stream().map(Scenario.ClassSpec::type).toList());
+    }
+
+    void unserved(long now, Refusal why) {
+        unserved.ended(now, why);
+        int place = (int) (now / WINDOW_US);
+        while (unservedIn.size() <= place) {
+            unservedIn.add(refusals());
+        }
+        unservedIn.get(place).ended(now, why);
+    }
+
     // ---- the report ----------------------------------------------------------------------------------
 
     ServiceReport report(World world) {
@@ -199,7 +218,7 @@
                 parts(tenants, i -> scenario.tenants().get(i).name(), true), windowParts(),
                 names(tries, i -> Section.form(Clients.How.values()[i])),
                 names(outcomes, i -> Section.form(Outcome.values()[i])), counts(world), servers,
-                List.copyOf(happened), world.account.report());
+                List.copyOf(happened), world.account.report(), unserved, List.copyOf(unservedIn));
     }
 
     /** The worst stretch of the stated length, by steps of half of it, where enough was asked to judge. */
--- a/src/main/java/mulleinfront/emulator/Trace.java
+++ b/src/main/java/mulleinfront/emulator/Trace.java
@@ -8,6 +8,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Locale;
 import mulleinfront.Balancer;
 import mulleinfront.Balancer.Actions;
 import mulleinfront.Balancer.AttemptEnd;
@@ -15,6 +16,7 @@
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.Balancer.Request;
 import mulleinfront.Balancer.Source;
+import mulleinfront.Refusal;
 import mulleinfront.core.Core;
 
 /**
@@ -147,6 +149,21 @@
         return this;
     }
 
+    /** Why a request was given up: for readers of the file only, since it is no decision. */
+    void why(long now, int proxy, Refusal r) {
+        if (file == null) {
+            return;
+        }
+        flush();
+        try {
+            file.write(String.format(Locale.ROOT, "%d p%d # %s %s worth=%.2f age=%d bound=%.3f %s%n", now, proxy,
+                    r.requestId(), r.cause().word(), r.worth(), r.ageUs(), r.bound(), r.madeFrom())
+                    .getBytes(StandardCharsets.UTF_8));
+        } catch (IOException e) {
+            throw new UncheckedIOException("the trace: " + e.getMessage(), e);
+        }
+    }
+
     /** A maker whose modules and their actions are written down under a client proxy's number. */
     Core.Maker around(Core.Maker maker, int proxy, EventQueue time) {
         return (settings, seed, now, actions) -> {
@@ -214,6 +231,11 @@
             module.onReport(now, endpointId, held);
         }
 
+        @Override
+        public void observe(Observer observer) {
+            module.observe(observer);
+        }
+
         @Override
         public void onProbeEnded(long now, String endpointId, Outcome outcome, long lagUs) {
             begin(now, proxy, "probed").word(endpointId).word(outcome.name()).word(lagUs).end();
--- a/src/main/java/mulleinfront/emulator/World.java
+++ b/src/main/java/mulleinfront/emulator/World.java
@@ -8,6 +8,7 @@
 import mulleinfront.Balancer;
 import mulleinfront.Balancer.Availability;
 import mulleinfront.Balancer.DedupScope;
+import mulleinfront.Refusal;
 import mulleinfront.core.Core;
 import mulleinfront.emulator.reference.Reference;
 import mulleinfront.emulator.reference.Truth;
@@ -283,6 +284,12 @@
         }
     }
 
+    /** A client proxy has given a request up, and says why. */
+    void unserved(int proxy, long now, Refusal why) {
+        tally.unserved(now, why);
+        trace.why(now, proxy, why);
+    }
+
     // ---- running -------------------------------------------------------------------------------------
 
     /** Plays it to its end. */
--- a/src/main/java/mulleinfront/manage/Calls.java
+++ b/src/main/java/mulleinfront/manage/Calls.java
@@ -15,6 +15,9 @@
         /** One word for how it stands. */
         String standing();
 
+        /** Why requests were given up since the start, in one line. */
+        String refusals();
+
         /** Drains clients away; a second call changes nothing. */
         void quiesce();
 
@@ -39,10 +42,13 @@
             case "health" -> {
                 return (process.takesClients() ? "+OK " : "-ERR ") + process.standing();
             }
+            case "refusals" -> {
+                return "+OK " + process.refusals();
+            }
             case "quiesce" -> process.quiesce();
             case "resume" -> process.resume();
             default -> {
-                return "-ERR unknown call; there are health, quiesce and resume";
+                return "-ERR unknown call; there are health, refusals, quiesce and resume";
             }
         }
         return "+OK " + process.standing();
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -34,6 +34,7 @@
 import mulleinfront.Balancer.RequestClass;
 import mulleinfront.Balancer.Source;
 import mulleinfront.core.Core;
+import mulleinfront.core.Refusals;
 import mulleinfront.core.Standing;
 import mulleinfront.core.Time;
 import mulleinfront.core.Wire;
@@ -75,6 +76,7 @@
     /** A listening socket that the platform handed over, until it is taken up. */
     private ServerSocketChannel inherited;
     private Channel management;
+    private Refusals refusals;
 
     private ClientProxy(Config config, EventLoopGroup group) {
         this.config = config;
@@ -289,12 +291,19 @@
         ClientProxy first = proxies.get(0);
         InetSocketAddress at = first.config.management();
         if (at != null) {
+            proxies.forEach(ClientProxy::countRefusals);
             Operated process = first.new Operated(proxies);
             first.management = first.bound(() -> ManagementServer.listen(first.loop, at, Upstream.BUFFERS,
                     new Calls(process)), at);
         }
     }
 
+    /** Only where somebody may ask: nothing of it is loaded elsewhere. */
+    private void countRefusals() {
+        refusals = new Refusals(config.settings().classes());
+        loop.execute(() -> core.observe(refusals));
+    }
+
     /** What operators call, for all client proxies of a process. */
     private final class Operated implements Calls.Process {
         private final List<ClientProxy> all;
@@ -313,6 +322,14 @@
             return standing.word();
         }
 
+        /** Counters of other event loops are read as they are at some moment of late. */
+        @Override
+        public String refusals() {
+            Refusals sum = new Refusals(config.settings().classes());
+            all.stream().filter(p -> p.refusals != null).forEach(p -> sum.add(p.refusals));
+            return sum.words();
+        }
+
         @Override
         public void quiesce() {
             each(p -> p.standing.quiesce());
--- a/src/test/java/mulleinfront/emulator/Broken.java
+++ b/src/test/java/mulleinfront/emulator/Broken.java
@@ -84,6 +84,11 @@
             real.onReport(now, endpointId, held);
         }
 
+        @Override
+        public void observe(Observer observer) {
+            real.observe(observer);
+        }
+
         @Override
         public void onProbeEnded(long now, String endpointId, Outcome outcome, long lagUs) {
             real.onProbeEnded(now, endpointId, outcome, lagUs);
--- a/src/test/java/mulleinfront/proxy/OperatedTest.java
+++ b/src/test/java/mulleinfront/proxy/OperatedTest.java
@@ -78,6 +78,7 @@
         assertTrue(call("x".repeat(5_000) + "\n").startsWith("-ERR a call has "));
         assertTrue(call("restart\n").startsWith("-ERR unknown call"));
         assertTrue(call("\n").startsWith("-ERR unknown call"));
+        assertEquals("+OK none", call("refusals\n"), "nothing has been given up");
         assertEquals("+OK serving", call("HEALTH\nquiesce\n"), "one call on a connection");
         assertEquals(200, ready());
     }
