--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -206,8 +206,8 @@
         }
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Channel listener = null;
+        ClientProxy proxy = new ClientProxy(config, group);
         try {
-            ClientProxy proxy = new ClientProxy(config, group);
             proxy.core.begin((settings, seed, now, actions) -> Rehearsal.module(actions), 0);
             listener = proxy.bound(() -> proxy.frontend.listen(at, false,
                     held ? proxy.new Operated(List.of(proxy)) : null), at);
@@ -223,7 +223,7 @@
                 // By the loop while it runs: the address is wanted at once.
                 listener.close().await();
             }
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
+            proxy.end().await();
         }
     }
 
@@ -373,11 +373,25 @@
             if (management != null) {
                 management.close();
             }
-            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+            end();
         }));
         return group.terminationFuture();
     }
 
+    /**
+     * Closes everything and ends the event loop. An event loop that is told to end while it runs a task does
+     * not close what is registered with it: those connections would stay open, with nobody at this end, as
+     * long as the process.
+     */
+    private Future<?> end() {
+        loop.execute(() -> {
+            frontend.close();
+            upstream.close();
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        });
+        return group.terminationFuture();
+    }
+
     /**
      * Takes up what may change while it serves: where discovery is. The rest of a configuration holds from
      * start to end.
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -151,6 +151,7 @@
                         if (door == null) {
                             serve(ch);
                         } else {
+                            clients.add(ch);
                             ch.pipeline().addLast(new Divide(door));
                         }
                     }
@@ -234,6 +235,14 @@
         }, DRAIN_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Closes at once, the listener and all that it accepted. */
+    void close() {
+        if (server != null) {
+            server.close();
+        }
+        clients.close();
+    }
+
     /** One connection of the application. */
     final class Client extends SimpleChannelInboundHandler<HttpObject>
             implements Caller<Call, Upstream.Answer> {
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -30,7 +30,10 @@
 import java.net.SocketException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
@@ -78,7 +81,9 @@
     private final IntSupplier mostIdle;
     /** Idle connections to all hosts, the longest idle first. */
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
-    private int connections;
+    /** All that are not closed, also while they come up. */
+    private final Set<Connection> open = new HashSet<>();
+    private boolean closed;
     /** Room for what nobody asked for: outside the heap, or each look would copy. */
     private final ByteBuffer peek = ByteBuffer.allocateDirect(1);
 
@@ -109,6 +114,12 @@
         }, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Closes all connections, for good: attempts that are out end, and others can't connect. */
+    void close() {
+        closed = true;
+        List.copyOf(open).forEach(c -> c.channel.close());
+    }
+
     /** A host as last listed; all fields are discovery's to set. */
     static final class Host {
         final String id;
@@ -223,7 +234,11 @@
         }
 
         private void connect() {
-            if (connections >= mostConnections && !idle.isEmpty()) {
+            if (closed) {
+                finish(Outcome.CONNECT_ERROR, null);
+                return;
+            }
+            if (open.size() >= mostConnections && !idle.isEmpty()) {
                 idle.iterator().next().close();
             }
             Connection made;
@@ -236,8 +251,8 @@
             ChannelFuture up = bootstrap.clone().channelFactory(() -> made.channel)
                     .handler(made.pipeline()).connect(host.address);
             fresh++;
-            connections++;
-            up.channel().closeFuture().addListener(f -> connections--);
+            open.add(made);
+            up.channel().closeFuture().addListener(f -> open.remove(made));
             connecting = up;
             up.addListener(f -> {
                 if (over) {
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import mulleinfront.proxy.Peers.Client;
 import mulleinfront.proxy.Peers.Discovery;
 import mulleinfront.proxy.Peers.Message;
@@ -217,6 +218,22 @@
         Thread.sleep(50);
     }
 
+    /** The JVM's own are few; the rehearsal had opened some thirty. */
+    @Test
+    void nothingIsLeftOpenOfTheRehearsal() throws Exception {
+        start(host(s -> s.served("x")));
+        try (Stream<Path> all = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+            long sockets = all.filter(fd -> {
+                try {
+                    return Files.readSymbolicLink(fd).toString().startsWith("socket");
+                } catch (IOException e) {
+                    return false; // closed meanwhile
+                }
+            }).count();
+            assertTrue(sockets <= 5, sockets + " sockets, a listener, a watch and a client among them");
+        }
+    }
+
     @Test
     void severalLoopsShareThePortAndNothingElse() throws Exception {
         Server host = host(s -> s.served("x"));
