--- a/src/main/java/mulleinfront/Main.java
+++ b/src/main/java/mulleinfront/Main.java
@@ -15,19 +15,21 @@
      * Starts the client proxy that {@code NODE_CONFIG} describes, or the bench adapter on standard input
      * and output.
      *
-     * @param args {@code serve}, also with {@code --machine FILE}, {@code benchlink} or {@code rehearse}, or a
-     *        command line
+     * @param args {@code serve}, also with {@code --machine FILE} or {@code --fleet FILE}, {@code benchlink} or
+     *        {@code rehearse}, or a command line
      */
     public static void main(String[] args) {
         String mode = args.length == 1 ? args[0] : "";
         try {
             switch (mode) {
                 case "benchlink" -> Adapter.run(System.in, System.out);
-                case "serve" -> Serve.serve(null);
+                case "serve" -> Serve.serve(null, null);
                 case "rehearse" -> Serve.rehearse();
                 default -> {
                     if (args.length == 3 && args[0].equals("serve") && args[1].equals("--machine")) {
-                        Serve.serve(args[2]);
+                        Serve.serve(args[2], null);
+                    } else if (args.length == 3 && args[0].equals("serve") && args[1].equals("--fleet")) {
+                        Serve.serve(null, args[2]);
                     } else {
                         // What is not deployed loads more, so nothing of it is named above.
                         System.exit(mulleinfront.cli.CommandLine.run(args));
--- a/src/main/java/mulleinfront/cli/Emulate.java
+++ b/src/main/java/mulleinfront/cli/Emulate.java
@@ -167,7 +167,7 @@
         PrintWriter out = spec.commandLine().getOut();
         out.print(ReportWriter.text(result));
         out.flush();
-        return result.breachCount() == 0 ? CommandLine.KEPT : CommandLine.RULE_BROKEN;
+        return result.broken() == 0 ? CommandLine.KEPT : CommandLine.RULE_BROKEN;
     }
 
     private static OutputStream open(Path path) throws BadFileException {
--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -115,6 +115,11 @@
         balancer = maker.create(settings, seed, bornAt, this);
     }
 
+    /** How many instances may be using the hosts now, as far as is known; at first as many as the settings say. */
+    public void living(int instances) {
+        footprint.living(instances);
+    }
+
     /** Whom to tell why requests are not served; to be called after {@link #begin}. */
     public void observe(Balancer.Observer who) {
         observer = who;
--- a/src/main/java/mulleinfront/core/Footprint.java
+++ b/src/main/java/mulleinfront/core/Footprint.java
@@ -31,7 +31,8 @@
     /** Longest delay of a call by an instance that holds no list, microseconds: it can serve nobody until then. */
     static final long MOST_EMPTY_US = 2_000_000;
 
-    private final int instances;
+    private final boolean few;
+    private int instances;
     private final long askWithinUs;
     private final SplittableRandom random;
     private double probes = 1;
@@ -43,18 +44,24 @@
      * @param seed this instance's own, or all would wait alike
      */
     public Footprint(int instances, long askWithinUs, long seed) {
+        this.few = instances <= FEW;
         this.instances = instances;
         this.askWithinUs = askWithinUs;
         this.random = new SplittableRandom(seed);
     }
 
-    private boolean few() {
-        return instances <= FEW;
+    /**
+     * Where instances know each other: how many may be using the hosts now, this one included. Those who can't be seen
+     * count until they are known to be gone, so that both sides of a cut together stay within what hosts bear. Where
+     * there are few by the settings nothing changes.
+     */
+    public void living(int now) {
+        instances = Math.max(1, now);
     }
 
     /** Idle connections to keep, to all hosts together. */
     public int mostIdle(int hosts) {
-        return few() ? Integer.MAX_VALUE
+        return few ? Integer.MAX_VALUE
                 : (int) Math.max(LEAST_IDLE, (long) IDLE_PER_HOST * hosts / instances);
     }
 
@@ -65,7 +72,7 @@
      * @param holdsList whether there is a list to go by meanwhile
      */
     public long callDelayUs(boolean holdsList) {
-        if (few()) {
+        if (few) {
             return 0;
         }
         double spread = Math.min(instances / CALLS_PER_S * 1e6, MOST_DELAY_PART * askWithinUs);
@@ -74,7 +81,7 @@
 
     /** Whether a probe may be made now; one that is made counts. */
     public boolean mayProbe(long now, int hosts) {
-        if (few()) {
+        if (few) {
             return true;
         }
         double perUs = PROBES_PER_HOST * hosts / instances / 1e6;
--- a/src/main/java/mulleinfront/emulator/Account.java
+++ b/src/main/java/mulleinfront/emulator/Account.java
@@ -127,7 +127,7 @@
 
     /** How a server truly is at this moment, for a request that goes there. */
     private Cause state(Clients.Try t, Host h) {
-        if (h.vanished || !world.network.passes(world.zoneOf(t.ask.proxy), h)) {
+        if (h.vanished || !world.network.passes(t.ask.proxy, world.zoneOf(t.ask.proxy), h)) {
             return Cause.UNREACHABLE;
         }
         if (!h.alive() || h.life.draining()) {
@@ -151,7 +151,7 @@
         boolean cold = false;
         for (Host h : world.hosts) {
             if (!h.alive() || h.life.draining() || h.life.hung()
-                    || !world.network.passes(world.zoneOf(t.ask.proxy), h)) {
+                    || !world.network.passes(t.ask.proxy, world.zoneOf(t.ask.proxy), h)) {
                 continue;
             }
             if (h.life.held() < h.life.machine().cores() && !h.life.troubled()) {
--- a/src/main/java/mulleinfront/emulator/Auditor.java
+++ b/src/main/java/mulleinfront/emulator/Auditor.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import mulleinfront.Balancer.Availability;
 import mulleinfront.Balancer.DedupScope;
 import mulleinfront.Balancer.Effect;
@@ -31,6 +33,7 @@
     /** By the time after which nothing more can be said of them. */
     private final ArrayDeque<Taken> oldest = new ArrayDeque<>();
     private final Map<Integer, Told> proxies = new HashMap<>();
+    private final Set<Integer> standing = new HashSet<>();
     private final Map<String, Place> places = new HashMap<>();
     private final Map<String, Cold> cold = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
@@ -81,6 +84,8 @@
         final long deadlineAt;
         final List<Sent> attempts = new ArrayList<>(1);
         boolean ended;
+        /** Its client proxy stood still while it was open: nobody can answer then. */
+        boolean excused;
         long endedAt;
         int ran;
 
@@ -168,6 +173,7 @@
 
     void taken(int proxy, String id, int classIndex, long now, long deadlineAt) {
         Taken t = new Taken(id, proxy, scenario.classes().get(classIndex).type(), deadlineAt);
+        t.excused = standing.contains(proxy);
         requests.put(id, t);
         oldest.add(t);
         long over = now - scenario.rules().answerSlackUs() - 60_000_000;
@@ -191,7 +197,7 @@
 
     /** The last that is said of a request. */
     private void judge(Taken t) {
-        if (!t.ended) {
+        if (!t.ended && !t.excused) {
             breach(Rule.LOST, t.deadlineAt, t.proxy, t.id, "never answered");
         }
         requests.remove(t.id);
@@ -207,7 +213,7 @@
         } else {
             t.ended = true;
             t.endedAt = now;
-            if (now > t.deadlineAt + scenario.rules().answerSlackUs()) {
+            if (now > t.deadlineAt + scenario.rules().answerSlackUs() && !t.excused) {
                 breach(Rule.LOST, now, proxy, id, how + " " + (now - t.deadlineAt) + " us after its deadline");
             }
         }
@@ -248,7 +254,7 @@
         if (t != null && !t.ended) {
             t.ended = true;
             t.endedAt = now + leaveSlackUs;
-            if (now > t.deadlineAt + scenario.rules().answerSlackUs() - 1) {
+            if (now > t.deadlineAt + scenario.rules().answerSlackUs() - 1 && !t.excused) {
                 breach(Rule.LOST, now, proxy, id, "not answered in its client's time");
             }
         }
@@ -342,6 +348,13 @@
         }
     }
 
+    /** It stands still, or goes on: what is open meanwhile can't be answered in time by anybody. */
+    void stands(int proxy, boolean still) {
+        if (still ? standing.add(proxy) : standing.remove(proxy)) {
+            requests.values().stream().filter(t -> t.proxy == proxy && !t.ended).forEach(t -> t.excused = true);
+        }
+    }
+
     /** It ended by itself, after it was told to: what it had taken is lost if it was not answered. */
     void proxyEnded(int proxy, long now) {
         List<Taken> lost = new ArrayList<>();
--- a/src/main/java/mulleinfront/emulator/DiscoveryClient.java
+++ b/src/main/java/mulleinfront/emulator/DiscoveryClient.java
@@ -96,6 +96,11 @@
             return zone;
         }
 
+        @Override
+        int proxy() {
+            return proxy;
+        }
+
         @Override
         boolean over() {
             return over;
--- a/src/main/java/mulleinfront/emulator/EmulatedWire.java
+++ b/src/main/java/mulleinfront/emulator/EmulatedWire.java
@@ -22,6 +22,7 @@
 
     private final World world;
     private final Time time;
+    private final Reader process;
     private final int proxy;
     private final int zone;
     private final long idleUs;
@@ -33,13 +34,21 @@
     private final IntSupplier mostIdle;
     private boolean sweeping;
 
+    /** The process that reads what comes to it, which may stand still. */
+    interface Reader {
+        /** Runs at once, or when the process goes on; not at all if it ends. */
+        void reads(Runnable what);
+    }
+
     /**
+     * @param process when it reads what comes
      * @param mostIdle idle connections to keep at most
      */
-    EmulatedWire(World world, Time time, int proxy, int zone, DiscoveryClient discovery, IntSupplier mostIdle) {
+    EmulatedWire(World world, Time time, Reader process, int proxy, int zone, DiscoveryClient discovery, IntSupplier mostIdle) {
         this.mostIdle = mostIdle;
         this.world = world;
         this.time = time;
+        this.process = process;
         this.proxy = proxy;
         this.zone = zone;
         this.discovery = discovery;
@@ -50,6 +59,10 @@
         return zone;
     }
 
+    int proxy() {
+        return proxy;
+    }
+
     int connections() {
         return all.size();
     }
@@ -105,7 +118,7 @@
         all.remove(link);
         ServerModel.Job job = link.current == null ? null : link.current.job;
         link.current = null;
-        if (world.network.passes(zone, link.host)) {
+        if (world.network.passes(proxy, zone, link.host)) {
             world.queue.after(world.network.delay(zone, link.host.zone), () -> {
                 world.release(link);
                 if (job != null) {
@@ -126,6 +139,10 @@
 
     /** A reset has come from the server's side. */
     void broken(Link link) {
+        process.reads(() -> reset(link));
+    }
+
+    private void reset(Link link) {
         if (!link.open) {
             return;
         }
@@ -225,7 +242,7 @@
             Host host = world.at(address);
             // An address without a machine, or none on the way to it, is silence; one without a process
             // refuses.
-            if (host == null || !world.network.passes(zone, host)) {
+            if (host == null || !world.network.passes(proxy, zone, host)) {
                 return;
             }
             time.after(trips(host, 1), () -> accept(host));
@@ -240,7 +257,7 @@
         }
 
         private void accept(Host host) {
-            if (over || !world.network.passes(zone, host)) {
+            if (over || !world.network.passes(proxy, zone, host)) {
                 return;
             }
             if (!host.alive() || host.address != address || !host.life.connect()) {
@@ -254,7 +271,7 @@
             made.current = this;
             link = made;
             time.after(trips(host, HANDSHAKE_TRIPS - 1), () -> {
-                if (!over && made.open && made.life == host.life && world.network.passes(zone, host)) {
+                if (!over && made.open && made.life == host.life && world.network.passes(proxy, zone, host)) {
                     write(made);
                 }
             });
@@ -287,7 +304,7 @@
                 return;
             }
             written = true;
-            if (world.network.passes(zone, host)) {
+            if (world.network.passes(proxy, zone, host)) {
                 world.queue.after(world.network.delay(zone, host.zone), () -> arrive(to));
             }
         }
@@ -295,7 +312,7 @@
         /** The last byte is at the server, if that still has the connection. */
         private void arrive(Link to) {
             Host host = to.host;
-            if (!world.network.passes(zone, host) || to.life.stopped() || !to.accepted) {
+            if (!world.network.passes(proxy, zone, host) || to.life.stopped() || !to.accepted) {
                 return;
             }
             if (time.now() - to.servedAt > to.life.machine().idleCloseUs()) {
@@ -331,12 +348,16 @@
                 world.reset(to);
                 return;
             }
-            if (!world.network.passes(zone, host)) {
+            if (!world.network.passes(proxy, zone, host)) {
                 return;
             }
             world.queue.after(world.network.delay(zone, host.zone), () -> {
-                if (to.open && to.current == this && world.network.passes(zone, host)) {
-                    answered(to, how, inflight);
+                if (world.network.passes(proxy, zone, host)) {
+                    process.reads(() -> {
+                        if (to.open && to.current == this) {
+                            answered(to, how, inflight);
+                        }
+                    });
                 }
             });
         }
--- a/src/main/java/mulleinfront/emulator/Instance.java
+++ b/src/main/java/mulleinfront/emulator/Instance.java
@@ -15,8 +15,15 @@
         return true;
     }
 
-    /** SIGKILL. */
-    abstract void kill();
+    /**
+     * SIGKILL.
+     *
+     * @param awayUs how long it stays away beyond the time that a start takes
+     */
+    abstract void kill(long awayUs);
+
+    /** SIGSTOP, and SIGCONT after so long. */
+    abstract void pause(long us);
 
     /** SIGTERM. */
     abstract void end();
--- a/src/main/java/mulleinfront/emulator/Network.java
+++ b/src/main/java/mulleinfront/emulator/Network.java
@@ -1,6 +1,8 @@
 package mulleinfront.emulator;
 
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 
 /** How long messages are under way, and which never arrive. */
@@ -10,6 +12,8 @@
     private final Chance chance;
     private final int[] cutZones;
     private final Set<Host> cutHosts = new HashSet<>();
+    /** For client proxies that are cut from zones by themselves: how often from each; null: none is. */
+    private Map<Integer, int[]> cutProxies;
 
     Network(Scenario.Network spec, int zones, Chance chance) {
         this.jitter = spec.jitter();
@@ -37,6 +41,18 @@
                 && (zone == host.zone || cutZones[zone] == 0 && cutZones[host.zone] == 0);
     }
 
+    /** The same for a client proxy, which may be cut off by itself. */
+    boolean passes(int proxy, int zone, Host host) {
+        return passes(zone, host) && (cutProxies == null || !cutProxies.containsKey(proxy)
+                || cutProxies.get(proxy)[host.zone] == 0);
+    }
+
+    /** One client proxy and the servers of a zone. */
+    void cut(int proxy, int zone, boolean on) {
+        cutProxies = cutProxies == null ? new HashMap<>() : cutProxies;
+        cutProxies.computeIfAbsent(proxy, p -> new int[cutZones.length])[zone] += on ? 1 : -1;
+    }
+
     void cut(int zone, boolean on) {
         cutZones[zone] += on ? 1 : -1;
     }
--- a/src/main/java/mulleinfront/emulator/Proxy.java
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -1,5 +1,6 @@
 package mulleinfront.emulator;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -10,9 +11,14 @@
 import mulleinfront.core.Caller;
 import mulleinfront.core.Core;
 import mulleinfront.core.Time;
+import mulleinfront.fleet.Change;
+import mulleinfront.fleet.Fleet;
 
 /** A client proxy's machine: one process after another, each with a core, a module and connections anew. */
 final class Proxy extends Instance {
+    /** How often it looks how many live, beside whenever that changes, microseconds. */
+    private static final long SHARE_US = 1_000_000;
+
     private final World world;
     private final int number;
     private final int zone;
@@ -57,23 +63,54 @@
             world.audit.proxyStarted(number, world.queue.now());
             life = new Life();
             life.begin(known);
+            if (world.fleet != null) {
+                world.fleet.start(number);
+                world.fleet.member(number).listen(life);
+                life.share();
+            }
         }
     }
 
     /** SIGKILL: what it held is its clients' to retry. It starts again after its time. */
     @Override
-    void kill() {
+    void kill(long awayUs) {
         if (life != null) {
             Life killed = life;
             life = null;
             world.audit.proxyKilled(number);
             killed.end();
-            startAgain();
+            startAgain(awayUs);
         }
     }
 
-    private void startAgain() {
-        world.queue.after(world.scenario.proxies().startUs(), () -> start(world.known()));
+    private void startAgain(long awayUs) {
+        if (world.fleet != null) {
+            world.fleet.kill(number);
+        }
+        world.queue.after(world.scenario.proxies().startUs() + awayUs, () -> start(world.known()));
+    }
+
+    /** SIGSTOP: nothing is read and no timer fires until it goes on. */
+    @Override
+    void pause(long us) {
+        if (life == null || life.still) {
+            return;
+        }
+        Life stopped = life;
+        stopped.still = true;
+        world.audit.stands(number, true);
+        if (world.fleet != null) {
+            world.fleet.stop(number);
+        }
+        world.queue.after(us, () -> {
+            if (life == stopped) {
+                stopped.goOn();
+                if (world.fleet != null) {
+                    world.fleet.go(number);
+                }
+            }
+            world.audit.stands(number, false);
+        });
     }
 
     /** SIGTERM: it takes what still comes for a moment, finishes what it has and ends. */
@@ -83,7 +120,14 @@
             return;
         }
         Life ending = life;
+        if (ending.still) {
+            ending.unread.add(this::end);
+            return;
+        }
         ending.ending = true;
+        if (world.fleet != null) {
+            world.fleet.leave(number);
+        }
         world.queue.after(world.scenario.proxies().lateCallsUs(), () -> {
             ending.listening = false;
             ending.endIfDone();
@@ -91,7 +135,7 @@
         world.queue.after(world.scenario.proxies().killAfterUs(), () -> {
             if (life == ending) {
                 world.audit.proxyEnded(number, world.queue.now());
-                kill();
+                kill(0);
             }
         });
     }
@@ -110,10 +154,10 @@
     }
 
     /** One process. */
-    private final class Life implements Time {
+    private final class Life implements Time, EmulatedWire.Reader, Fleet.Listener {
         private final DiscoveryClient discovery = new DiscoveryClient(world, this, number, zone);
-        private final EmulatedWire wire = new EmulatedWire(world, this, number, zone, discovery,
-                this::mostIdle);
+        private final EmulatedWire wire = new EmulatedWire(world, this, this, number, zone,
+                discovery, this::mostIdle);
         private final Core<Call, Answer> core =
                 new Core<>(world.settings, this, world.fitting.wire(wire, this), world.audit::defect);
         private final Map<Clients.Try, Core.Exchange<Call, Answer>> open = new LinkedHashMap<>();
@@ -124,6 +168,9 @@
         private final Scenario.Cpu cpu = world.scenario.proxies().cpu();
         private long cpuFreeAt;
         private long requests;
+        /** What comes while it stands still. */
+        private final ArrayDeque<Runnable> unread = new ArrayDeque<>();
+        private boolean still;
         private boolean alive = true;
         private boolean listening = true;
         private boolean ending;
@@ -151,15 +198,59 @@
         /** Timers die with the process. */
         @Override
         public Timer after(long delayUs, Runnable task) {
-            return world.queue.after(delayUs, () -> {
-                if (alive) {
+            if (!world.pauses) {
+                return world.queue.after(delayUs, () -> {
+                    if (alive) {
+                        task.run();
+                    }
+                });
+            }
+            // One that is due while it stands still may be cancelled by what is read first when it goes on.
+            boolean[] cancelled = {false};
+            Timer timer = world.queue.after(delayUs, () -> reads(() -> {
+                if (!cancelled[0]) {
                     task.run();
                 }
-            });
+            }));
+            return () -> {
+                cancelled[0] = true;
+                timer.cancel();
+            };
+        }
+
+        @Override
+        public void reads(Runnable what) {
+            if (still) {
+                unread.add(what);
+            } else if (alive) {
+                what.run();
+            }
+        }
+
+        private void goOn() {
+            still = false;
+            while (alive && !still && !unread.isEmpty()) {
+                unread.poll().run();
+            }
+        }
+
+        /** Whoever lives has a part of what the hosts bear. */
+        private void share() {
+            core.living(world.fleet.member(number).living(now()));
+            after(SHARE_US, this::share);
+        }
+
+        @Override
+        public void changed(Change change) {
+            core.living(world.fleet.member(number).living(now()));
         }
 
         private void take(Clients.Try t) {
             long now = now();
+            reads(() -> taken(t, now));
+        }
+
+        private void taken(Clients.Try t, long now) {
             world.audit.taken(number, t.call.id(), t.call.classIndex(), now, t.deadlineAt);
             world.account.taken(t.call.id());
             waiting.add(t);
@@ -227,6 +318,10 @@
         }
 
         private void gone(Clients.Try t) {
+            if (still) {
+                unread.add(() -> gone(t));
+                return;
+            }
             world.audit.left(number, t.call.id(), now());
             Core.Exchange<Call, Answer> exchange = open.remove(t);
             if (exchange != null) {
@@ -243,7 +338,7 @@
                 life = null;
                 world.audit.proxyEnded(number, now());
                 end();
-                startAgain();
+                startAgain(0);
             }
         }
 
--- a/src/main/java/mulleinfront/emulator/Registry.java
+++ b/src/main/java/mulleinfront/emulator/Registry.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -40,6 +41,8 @@
     private double crowd;
     private boolean down;
     private boolean silent;
+    /** Client proxies that are cut off from it, each for itself. */
+    private final Set<Integer> cut = new HashSet<>();
     private Range late = Range.of(0);
     private int shuffle;
     private final List<Runnable> shuffled = new ArrayList<>();
@@ -122,7 +125,7 @@
     /** Tells a watch what it has not been told. */
     private void tell(Watcher w) {
         long from = w.toldTo;
-        if (down || silent || from >= version() && from >= 0) {
+        if (down || silent || cut.contains(w.proxy()) || from >= version() && from >= 0) {
             return;
         }
         News news = from < 0 || version() - from > 2L * present.size() + 16
@@ -178,7 +181,7 @@
             world.queue.after(world.network.delay(w.zone(), 0), w::fail);
             return;
         }
-        if (silent) {
+        if (silent || cut.contains(w.proxy())) {
             failedCalls++;
             return;
         }
@@ -199,7 +202,7 @@
         world.queue.after(busyUntil - now + way(w), () -> {
             if (down) {
                 w.fail();
-            } else if (!silent && !w.over()) {
+            } else if (!silent && !w.over() && !cut.contains(w.proxy())) {
                 watches.add(w);
                 w.begin();
                 if (w.toldTo >= version()) {
@@ -230,13 +233,22 @@
     /** Silent: what is open stays open and says nothing, not even that it is there. */
     void silent(boolean on) {
         silent = on;
-        for (Watcher w : List.copyOf(watches)) {
-            if (on) {
-                w.silence((long) (HEARTBEAT_US * chance.unit()));
-            } else {
-                w.begin();
-                tell(w);
-            }
+        List.copyOf(watches).forEach(w -> silent(w, on));
+    }
+
+    private void silent(Watcher w, boolean on) {
+        if (on) {
+            w.silence((long) (HEARTBEAT_US * chance.unit()));
+        } else {
+            w.begin();
+            tell(w);
+        }
+    }
+
+    /** The same for one client proxy alone: what it calls is not answered. */
+    void cut(int proxy, boolean on) {
+        if (on ? cut.add(proxy) : cut.remove(proxy)) {
+            watches.stream().filter(w -> w.proxy() == proxy).toList().forEach(w -> silent(w, on));
         }
     }
 
--- a/src/main/java/mulleinfront/emulator/ReportWriter.java
+++ b/src/main/java/mulleinfront/emulator/ReportWriter.java
@@ -74,6 +74,9 @@
             line(out, "rules: %d breaches; the first:", r.breachCount());
             r.breaches().stream().limit(10).forEach(b -> line(out, "  %s", b));
         }
+        if (r.fleet() != null) {
+            r.fleet().lines().forEach(l -> line(out, "%s", l));
+        }
         if (r.decisions() > 0) {
             line(out, "decisions: sha256 %s", r.sha256());
         }
--- a/src/main/java/mulleinfront/emulator/Scenario.java
+++ b/src/main/java/mulleinfront/emulator/Scenario.java
@@ -29,12 +29,13 @@
  * @param limits what client proxies may do
  * @param rules figures of the four rules
  * @param service how service is counted
+ * @param peers how client proxies know each other; null: not at all
  * @param faults what happens, in the order of the file
  */
 public record Scenario(String name, String title, long lengthUs, long settleUs, List<String> zones,
         Network network, Discovery discovery, Proxies proxies, Clients clients, Load load,
         List<Servers> servers, List<ClassSpec> classes, List<Tenant> tenants, double overShareWorth,
-        Limits limits, Rules rules, Service service, List<Fault> faults) {
+        Limits limits, Rules rules, Service service, Peers peers, List<Fault> faults) {
 
     /**
      * One-way delays, microseconds.
@@ -170,13 +171,38 @@
             double waste, double lateFail, double probe, double crossZone, double linger,
             double shareOfCapacity) { }
 
+    /**
+     * The client proxies as a fleet.
+     *
+     * @param periodUs each pings one other in this time
+     * @param goneUs time after which one that was not seen counts as gone for good
+     * @param plain whether the detector has neither suspicion nor doubt of itself
+     * @param loss part of all datagrams that is lost, at all times
+     */
+    public record Peers(long periodUs, long goneUs, boolean plain, double loss) { }
+
     /** What can go wrong. */
     public enum Kind {
         SLOW, HANG, NEIGHBOUR, ERRORS, PAUSE, DRAIN, RESTART, DEPLOY, VANISH, CUT, RESET_BEFORE, RESET_AFTER,
         DISCOVERY_DOWN, DISCOVERY_SILENT, DISCOVERY_LATE, DISCOVERY_SHUFFLE, DISCOVERY_CROWD, KILL_PROXY, END_PROXY,
-        SURGE, BURST
+        ROLL_PROXIES, PAUSE_PROXY, CUT_PROXY, CUT_PEERS, DATAGRAMS, REPEAT_DATAGRAMS, STRANGERS, CLOCK, SURGE, BURST
     }
 
+    /**
+     * Which datagrams between client proxies a fault is about, and what it does to them.
+     *
+     * @param from numbers of the senders; empty: all
+     * @param to numbers of the receivers; empty: all others
+     * @param oneWay whether only that way is cut
+     * @param lose part that is lost
+     * @param twice part that comes twice
+     * @param overtaken part that later ones overtake
+     * @param change part that has bytes changed
+     * @param late how much later they come
+     */
+    public record Between(List<Integer> from, List<Integer> to, boolean oneWay, double lose, double twice,
+            double overtaken, double change, Range late) { }
+
     /**
      * One thing that goes wrong; which fields count depends on its kind.
      *
@@ -187,15 +213,19 @@
      * @param zone number of a zone, or -1
      * @param proxy number of a client proxy, or -1
      * @param tenant number of a tenant, or -1: all
-     * @param factor how many times slower or more; or how many lists; or calls a second
+     * @param factor how many times slower or more; or how many lists; or calls or datagrams a second; or by how many
+     *        milliseconds a clock is put on
      * @param share a part: of the machine, of the answers, of the fleet at a time
      * @param on mean time on, for what comes and goes; or the time within which it happens to all
      * @param off mean time off
-     * @param drainUs how long a server drains before its process ends
-     * @param moved whether a restarted server has another address
+     * @param drainUs how long a server drains before its process ends, or a killed client proxy stays away beyond its
+     *        start, or datagrams are kept before they are repeated
+     * @param moved whether a restarted server has another address; whether discovery is what a client proxy is cut from
+     * @param between what happens to datagrams; null: nothing
      */
     public record Fault(Kind kind, long at, long forUs, List<String> servers, int count, int zone, int proxy,
-            int tenant, double factor, double share, Range on, Range off, long drainUs, boolean moved) { }
+            int tenant, double factor, double share, Range on, Range off, long drainUs, boolean moved,
+            Between between) { }
 
     /** What a client proxy is told of all this. */
     public Balancer.Settings settings() {
@@ -239,7 +269,7 @@
 
     private Scenario with(Proxies itsProxies, Rules itsRules, List<Fault> itsFaults) {
         return new Scenario(name, title, lengthUs, settleUs, zones, network, discovery, itsProxies, clients, load,
-                servers, classes, tenants, overShareWorth, limits, itsRules, service, itsFaults);
+                servers, classes, tenants, overShareWorth, limits, itsRules, service, peers, itsFaults);
     }
 
     /** How many servers there are. */
--- a/src/main/java/mulleinfront/emulator/ScenarioReader.java
+++ b/src/main/java/mulleinfront/emulator/ScenarioReader.java
@@ -45,6 +45,8 @@
 
     private enum WarmBy { TIME, WORK }
 
+    private enum Detector { FULL, PLAIN }
+
     private ScenarioReader() { }
 
     /**
@@ -122,7 +124,7 @@
         Load load = load(root.table("load"), servers, classes);
         Scenario world = new Scenario(name(file), title, length, settle, zones, delays,
                 discovery(root.table("discovery")), proxies, clients(root.table("clients")), load, servers,
-                classes, tenants, overShareWorth, limits, rules, service, List.of());
+                classes, tenants, overShareWorth, limits, rules, service, peers(root), List.of());
         List<Scenario.Fault> faults = new FaultReader(world).read(root.ownTables("fault"));
         root.done();
         return world.withFaults(faults);
@@ -168,6 +170,17 @@
         return p;
     }
 
+    private static Scenario.Peers peers(Section root) throws BadFileException {
+        if (!root.has("peers")) {
+            return null;
+        }
+        Section s = root.table("peers");
+        Scenario.Peers p = new Scenario.Peers(positive(s, "period", 1_000_000L), positive(s, "gone-after", 600_000_000L),
+                s.word("detector", Detector.FULL, Detector.class) == Detector.PLAIN, s.share("loss", 0.0, 1));
+        s.done();
+        return p;
+    }
+
     private static Clients clients(Section s) throws BadFileException {
         Clients c = new Clients(s.count("retries", 1, 0), s.times("backoff", new Range(25_000, 200_000)),
                 s.flag("doubling", true), s.share("honour", 0.9, 1),
--- a/src/main/java/mulleinfront/emulator/Script.java
+++ b/src/main/java/mulleinfront/emulator/Script.java
@@ -1,7 +1,9 @@
 package mulleinfront.emulator;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
+import java.util.function.Predicate;
 import mulleinfront.Balancer.Availability;
 import mulleinfront.emulator.Scenario.Fault;
 import mulleinfront.settings.Range;
@@ -46,8 +48,16 @@
             case DISCOVERY_SHUFFLE ->
                     both(f, () -> world.registry.shuffle((int) f.factor()), () -> world.registry.shuffle(0));
             case DISCOVERY_CROWD -> both(f, () -> world.registry.crowd(f.factor()), () -> world.registry.crowd(0));
-            case KILL_PROXY -> proxies(f).forEach(p -> within(f, p::kill));
+            case KILL_PROXY -> proxies(f).forEach(p -> within(f, () -> p.kill(f.drainUs())));
             case END_PROXY -> proxies(f).forEach(p -> within(f, p::end));
+            case ROLL_PROXIES -> roll(f);
+            case PAUSE_PROXY -> proxies(f).forEach(p -> p.pause(f.forUs()));
+            case CUT_PROXY -> cutProxies(f);
+            case CUT_PEERS, DATAGRAMS -> datagrams(f);
+            case REPEAT_DATAGRAMS -> world.peerFaults().repeat(f.drainUs(), f.factor(), lasts(f));
+            case STRANGERS -> world.peerFaults().strangers(f.factor(), lasts(f));
+            case CLOCK -> proxies(f).forEach(p -> world.peerFaults().clockJumps(world.proxies.indexOf(p),
+                    (long) f.factor()));
             case SURGE -> both(f, () -> world.clients.surge(f.tenant(), f.factor()),
                     () -> world.clients.surge(f.tenant(), 1));
             case BURST -> {
@@ -180,6 +190,64 @@
         }
     }
 
+    private long lasts(Fault f) {
+        return f.forUs() > 0 ? f.forUs() : world.scenario.lengthUs() - world.queue.now();
+    }
+
+    /** Client proxies are told to end, a batch after the other, each started again when it has. */
+    private void roll(Fault f) {
+        int count = world.proxies.size();
+        int batch = Math.max(1, (int) Math.round(f.share() * count));
+        int batches = (count + batch - 1) / batch;
+        for (int i = 0; i < count; i++) {
+            world.queue.after(f.forUs() * (i / batch) / batches, world.proxies.get(i)::end);
+        }
+    }
+
+    /** Client proxies are cut from discovery, or from the servers of a zone, each for itself. */
+    private void cutProxies(Fault f) {
+        List<Instance> those = proxies(f);
+        both(f, () -> those.forEach(p -> cut(f, world.proxies.indexOf(p), true)),
+                () -> those.forEach(p -> cut(f, world.proxies.indexOf(p), false)));
+    }
+
+    private void cut(Fault f, int proxy, boolean on) {
+        if (f.moved()) {
+            world.registry.cut(proxy, on);
+        }
+        if (f.zone() >= 0) {
+            world.network.cut(proxy, f.zone(), on);
+            world.hosts.forEach(world::changed);
+            if (!on) {
+                heal(link -> link.owner.proxy() == proxy);
+            }
+        }
+    }
+
+    private void datagrams(Fault f) {
+        Scenario.Between b = f.between();
+        BitSet from = set(b.from());
+        BitSet to = set(b.to());
+        if (f.kind() == Scenario.Kind.CUT_PEERS) {
+            if (to == null) {
+                to = (BitSet) from.clone();
+                to.flip(0, world.proxies.size());
+            }
+            PeerFaults.End end = world.peerFaults().cut(from, to, b.oneWay());
+            both(f, () -> { }, end::end);
+            return;
+        }
+        PeerFaults.End end = world.peerFaults().trouble(from, to, b.lose(), b.twice(), b.overtaken(), b.change(),
+                b.late());
+        both(f, () -> { }, end::end);
+    }
+
+    private static BitSet set(List<Integer> numbers) {
+        BitSet set = new BitSet();
+        numbers.forEach(set::set);
+        return numbers.isEmpty() ? null : set;
+    }
+
     private void cut(Fault f) {
         if (f.zone() >= 0 && f.count() < 0) {
             both(f, () -> {
@@ -188,7 +256,7 @@
             }, () -> {
                 world.network.cut(f.zone(), false);
                 world.hosts.forEach(world::changed);
-                heal();
+                heal(link -> link.owner.zone() != link.host.zone);
             });
         } else {
             eachHost(f, h -> {
@@ -203,10 +271,10 @@
     }
 
     /** Connections that crossed a cut are reset when it is over. */
-    private void heal() {
+    private void heal(Predicate<Link> crossed) {
         for (Host h : world.hosts) {
             for (Link link : List.copyOf(h.links)) {
-                if (link.owner.zone() != h.zone) {
+                if (crossed.test(link)) {
                     world.reset(link);
                 }
             }
--- a/src/main/java/mulleinfront/emulator/Stage.java
+++ b/src/main/java/mulleinfront/emulator/Stage.java
@@ -31,8 +31,14 @@
 
     /** What carries messages between the world and the client proxies. */
     public interface Outside {
-        /** SIGKILL, and a start after it. */
-        void kill(int proxy);
+        /** SIGKILL, and a start so long after it. */
+        void kill(int proxy, long awayUs);
+
+        /** SIGSTOP, and SIGCONT after so long. */
+        void pause(int proxy, long us);
+
+        /** What makes things happen between client proxies; null: nothing can. */
+        PeerFaults peerFaults();
 
         /** SIGTERM, and a start when it has ended. */
         void end(int proxy);
@@ -120,6 +126,10 @@
         return world.finish();
     }
 
+    PeerFaults peerFaults() {
+        return outside.peerFaults();
+    }
+
     // ---- client proxies ------------------------------------------------------------------------------
 
     /** The list that a client proxy that starts now finds, which is from now on what it was told. */
@@ -166,8 +176,15 @@
             }
 
             @Override
-            void kill() {
-                outside.kill(number);
+            void kill(long awayUs) {
+                outside.kill(number, awayUs);
+            }
+
+            @Override
+            void pause(long us) {
+                world.audit.stands(number, true);
+                outside.pause(number, us);
+                world.queue.after(us, () -> world.audit.stands(number, false));
             }
 
             @Override
@@ -268,7 +285,7 @@
     /** What a client proxy's new connection to an address meets now. */
     public Door door(int proxy, int address) {
         Host host = world.at(address);
-        if (host == null || !world.network.passes(world.zoneOf(proxy), host)) {
+        if (host == null || !world.network.passes(proxy, world.zoneOf(proxy), host)) {
             return Door.SILENT;
         }
         return host.alive() && host.address == address ? Door.OPEN : Door.REFUSED;
@@ -304,7 +321,7 @@
         }
 
         private boolean passes() {
-            return open && world.network.passes(world.zoneOf(proxy), host) && !life.stopped();
+            return open && world.network.passes(proxy, world.zoneOf(proxy), host) && !life.stopped();
         }
 
         /** It is closed, by either side: what it carried was given up, and may have run. */
@@ -399,7 +416,7 @@
 
         private void arrive() {
             Connection c = connection;
-            if (!world.network.passes(world.zoneOf(c.proxy), c.host) || c.life.stopped()) {
+            if (!world.network.passes(c.proxy, world.zoneOf(c.proxy), c.host) || c.life.stopped()) {
                 return;
             }
             Call call = sent.t.call;
@@ -501,6 +518,11 @@
             return world.zoneOf(proxy);
         }
 
+        @Override
+        int proxy() {
+            return proxy;
+        }
+
         @Override
         boolean over() {
             return over;
--- a/src/main/java/mulleinfront/emulator/Sweep.java
+++ b/src/main/java/mulleinfront/emulator/Sweep.java
@@ -91,8 +91,8 @@
         World world = balancer == null ? World.of(scenario, seed, null)
                 : World.under(balancer, scenario, seed);
         World.Result r = world.play();
-        return new Played(seed, r.service().service(), r.goodput(), r.fell(), r.breachCount(),
-                r.breaches().isEmpty() ? null : r.breaches().get(0).toString(), r.sha256(),
+        return new Played(seed, r.service().service(), r.goodput(), r.fell(), r.broken(),
+                r.firstBroken(), r.sha256(),
                 r.service().starts());
     }
 
--- a/src/main/java/mulleinfront/emulator/Trace.java
+++ b/src/main/java/mulleinfront/emulator/Trace.java
@@ -18,6 +18,7 @@
 import mulleinfront.Balancer.Source;
 import mulleinfront.Refusal;
 import mulleinfront.core.Core;
+import mulleinfront.fleet.Change;
 
 /**
  * The decision trace: one line for each event that a decision module was told and for each of its actions, in
@@ -89,6 +90,12 @@
         return word(what);
     }
 
+    /** What one client proxy believes of another, and did not before. */
+    void fleet(int proxy, Change c) {
+        begin(c.atUs(), proxy, "fleet").word(c.number()).word(c.member()).word(c.from().word()).word(c.to().word())
+                .word(c.incarnation()).word(c.word()).word(c.cause().word()).word(c.digest()).end();
+    }
+
     private void end() {
         room(1);
         line[used++] = '\n';
--- a/src/main/java/mulleinfront/emulator/Watcher.java
+++ b/src/main/java/mulleinfront/emulator/Watcher.java
@@ -8,6 +8,9 @@
     /** The zone that it calls from. */
     abstract int zone();
 
+    /** The client proxy that calls. */
+    abstract int proxy();
+
     abstract boolean over();
 
     /** It is answered, and heartbeats come. */
--- a/src/main/java/mulleinfront/emulator/World.java
+++ b/src/main/java/mulleinfront/emulator/World.java
@@ -12,6 +12,9 @@
 import mulleinfront.core.Core;
 import mulleinfront.emulator.reference.Reference;
 import mulleinfront.emulator.reference.Truth;
+import mulleinfront.fleet.Fleet;
+import mulleinfront.fleet.FleetSettings;
+import mulleinfront.settings.Range;
 
 /**
  * A world on virtual time: client proxies (the real core and module, sharing nothing), servers, clients,
@@ -32,6 +35,10 @@
     final List<Instance> proxies = new ArrayList<>();
     final Clients clients;
     final Fitting fitting;
+    /** The client proxies as a fleet; null where they do not know each other, or are elsewhere. */
+    final FleetRun fleet;
+    /** Whether client proxies may stand still. */
+    final boolean pauses;
     private final Stage outside;
     private final long seed;
     private final List<Host> byAddress = new ArrayList<>();
@@ -60,6 +67,7 @@
         this.fitting = fitting;
         this.scenario = scenario;
         this.settings = scenario.settings();
+        this.pauses = scenario.faults().stream().anyMatch(f -> f.kind() == Scenario.Kind.PAUSE_PROXY);
         this.seed = seed;
         this.trace = trace;
         this.network = new Network(scenario.network(), scenario.zones().size(), chance("network"));
@@ -67,6 +75,7 @@
         this.tally = new Tally(scenario);
         this.account = new Account(this);
         this.registry = new Registry(this, chance("discovery"));
+        this.fleet = outside == null && scenario.peers() != null ? fleet() : null;
         buildHosts();
         if (outside == null) {
             startProxies(makers);
@@ -103,6 +112,25 @@
         };
     }
 
+    /** What makes things happen between them; null where nothing can. */
+    PeerFaults peerFaults() {
+        return outside == null ? fleet : outside.peerFaults();
+    }
+
+    private FleetRun fleet() {
+        Scenario.Peers spec = scenario.peers();
+        int count = scenario.proxies().count();
+        FleetRun run = new FleetRun(queue, chance("fleet"), count, i -> {
+            FleetSettings s = FleetSettings.usual(scenario.name(), "n" + i, i, count, spec.periodUs(), spec.goneUs());
+            return spec.plain() ? s.plain() : s;
+        }, Fleet::new, (from, to) -> network.delay(zoneOf(Math.max(0, from)), zoneOf(to)));
+        if (spec.loss() > 0) {
+            run.trouble(null, null, spec.loss(), 0, 0, 0, Range.of(0));
+        }
+        run.watch(trace::fleet);
+        return run;
+    }
+
     Chance chance(String concern) {
         return Chance.of(seed, concern);
     }
@@ -253,7 +281,7 @@
     /** The server's end of a connection is gone, and its client hears of it. */
     void reset(Link link) {
         release(link);
-        if (network.passes(link.owner.zone(), link.host)) {
+        if (network.passes(link.owner.proxy(), link.owner.zone(), link.host)) {
             queue.after(network.delay(link.host.zone, link.owner.zone()), () -> link.owner.broken(link));
         }
     }
@@ -306,7 +334,7 @@
         audit.finish(queue.now());
         return new Result(scenario, seed, tally.report(this), audit.breaches(), audit.breachCount(),
                 trace.sha256(), trace.lines(), queue.ran(), hosts.stream().limit(scenario.fleet())
-                .mapToDouble(h -> h.machine.capacity()).sum());
+                .mapToDouble(h -> h.machine.capacity()).sum(), fleet == null ? null : fleet.report());
     }
 
     /**
@@ -319,9 +347,27 @@
      * @param decisions lines of the decision trace
      * @param events tasks that the world's queue ran
      * @param capacity work that the servers of the start can do in a microsecond, warm and undisturbed
+     * @param fleet how the client proxies knew each other; null: not at all
      */
     public record Result(Scenario scenario, long seed, ServiceReport service, List<Auditor.Breach> breaches,
-            int breachCount, String sha256, long decisions, long events, double capacity) {
+            int breachCount, String sha256, long decisions, long events, double capacity, FleetReport fleet) {
+
+        /** The same with what a judge found of the fleet where the client proxies are elsewhere. */
+        public Result withFleet(FleetReport found) {
+            return new Result(scenario, seed, service, breaches, breachCount, sha256, decisions, events, capacity,
+                    found);
+        }
+
+        /** The first broken rule, in words; null if there is none. */
+        public String firstBroken() {
+            return !breaches.isEmpty() ? breaches.get(0).toString()
+                    : fleet != null && fleet.breachCount() > 0 ? fleet.breaches().get(0).toString() : null;
+        }
+
+        /** Broken rules of requests and of the fleet. */
+        public int broken() {
+            return breachCount + (fleet == null ? 0 : fleet.breachCount());
+        }
 
         /**
          * Work of the answers that clients were given, as a part of all that the servers can do warm and
--- a/src/main/java/mulleinfront/kit/DaemonProcess.java
+++ b/src/main/java/mulleinfront/kit/DaemonProcess.java
@@ -38,6 +38,13 @@
     private volatile boolean told;
     private volatile boolean killed;
 
+    /**
+     * How it is a member of a fleet.
+     *
+     * @param file the operators' file
+     */
+    record Peering(InetSocketAddress listen, List<InetSocketAddress> peers, Path file) { }
+
     /** How it is at a moment; descriptors and memory are of the process itself. */
     record Sample(int descriptors, long residentKb, long cpuMs) { }
 
@@ -103,6 +110,11 @@
         process.destroyForcibly();
     }
 
+    /** SIGSTOP or SIGCONT, on its way when this returns. */
+    void stands(boolean still) throws IOException {
+        new ProcessBuilder("kill", still ? "-STOP" : "-CONT", "" + process.pid()).start();
+    }
+
     /** Waits for its end; false if it goes on all the same. */
     boolean ended(long millis) throws InterruptedException {
         return process.waitFor(millis, TimeUnit.MILLISECONDS);
@@ -160,7 +172,7 @@
 
     /** What the platform would tell it, as JSON. */
     static String config(Scenario scenario, int number, long seed, InetSocketAddress listen,
-            InetSocketAddress discovery, String known) throws IOException {
+            InetSocketAddress discovery, String known, Peering peering) throws IOException {
         Settings s = scenario.settings();
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         try (JsonGenerator out = new JsonFactory().createGenerator(bytes)) {
@@ -174,12 +186,22 @@
             out.writeNumberField("memory_mb", MEMORY_MB);
             out.writeNumberField("sockets", SOCKETS);
             out.writeEndObject();
+            if (peering != null) {
+                out.writeStringField("peer_listen", NetUtil.toSocketAddressString(peering.listen()));
+                out.writeArrayFieldStart("peers");
+                for (InetSocketAddress peer : peering.peers()) {
+                    out.writeString(NetUtil.toSocketAddressString(peer));
+                }
+                out.writeEndArray();
+                out.writeStringField("fleet", peering.file().toAbsolutePath().toString());
+            }
             out.writeFieldName("known");
             out.writeRawValue(known);
             out.writeObjectFieldStart("settings");
             names(out, "azs", scenario.zones());
             names(out, "kinds", scenario.servers().stream().map(Scenario.Servers::name).toList());
             out.writeNumberField("balancers", s.instances());
+            out.writeNumberField("me", number);
             out.writeStringField("membershipMode", s.subscribe() ? "subscribe" : "automatic");
             out.writeNumberField("overShareWorth", s.overShareWorth());
             out.writeArrayFieldStart("customers");
--- a/src/main/java/mulleinfront/kit/Places.java
+++ b/src/main/java/mulleinfront/kit/Places.java
@@ -20,6 +20,8 @@
     private static final int FIRST_PART = 16;
     private static final int EACH = 250;
     private static final int TRIES = 100;
+    /** The part of each client proxy's addresses where it knows the others; servers end below it. */
+    private static final int PEERS_PART = 254;
 
     private final int port;
 
@@ -58,6 +60,16 @@
         return at(proxy, 0, 2);
     }
 
+    /** Where one hears other client proxies. */
+    InetSocketAddress peerListen(int proxy) {
+        return at(proxy, 0, 3);
+    }
+
+    /** The address under which one knows another; itself under where it hears. */
+    InetSocketAddress peer(int proxy, int other) {
+        return proxy == other ? peerListen(proxy) : at(proxy, PEERS_PART, 1 + other);
+    }
+
     /** A server by its number in the world; those counted down from the largest number are not there at all. */
     InetSocketAddress server(int proxy, int address) {
         int n = address < MOST_SERVERS ? address : MOST_SERVERS + (Integer.MAX_VALUE - address) % EACH;
--- a/src/main/java/mulleinfront/kit/RealRun.java
+++ b/src/main/java/mulleinfront/kit/RealRun.java
@@ -18,16 +18,26 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import mulleinfront.emulator.Chance;
+import mulleinfront.emulator.FleetJudge;
+import mulleinfront.emulator.FleetReport;
+import mulleinfront.emulator.PeerFaults;
 import mulleinfront.emulator.Scenario;
 import mulleinfront.emulator.Stage;
+import mulleinfront.emulator.Troubles;
 import mulleinfront.emulator.World;
+import mulleinfront.fleet.FleetSettings;
 import mulleinfront.settings.BadFileException;
+import mulleinfront.settings.Range;
 import mulleinfront.settings.Version;
 
 /** One scenario on real sockets against client proxies that run as processes. Played once. */
 public final class RealRun implements Stage.Outside {
     /** Protocol: each time limit is 50 ms longer on sockets. */
     private static final long SLACK_US = 50_000;
+    /** What the judge of the fleet grants for processes that wait for a core, microseconds. */
+    private static final long JUDGE_SLACK_US = 2_000_000;
     private static final long READY_MS = 60_000;
     private static final long READY_POLL_MS = 20;
     private static final long END_MS = 10_000;
@@ -52,13 +62,21 @@
     private final StandInServers servers;
     private final StandInDiscovery discovery;
     private final ClientDriver clients;
+    /** What stands between client proxies, and what was done and said there; null where they do not know each other. */
+    private final PeerRelay relay;
+    private final FleetTimeline timeline;
+    private final Path fleetFile;
     /** The present process of each client proxy; set on the event loop, or before that runs. */
     private final DaemonProcess[] daemons;
     /** Whether clients send to it; on the event loop. */
     private final boolean[] up;
+    /** How long one that was killed stays away; on the event loop. */
+    private final long[] away;
     private final List<String> failures = Collections.synchronizedList(new ArrayList<>());
     private final List<List<DaemonProcess.Sample>> samples = new ArrayList<>();
     private volatile boolean interrupted;
+    /** When what follows is no longer judged, milliseconds since 1970. */
+    private volatile long endedAtMs;
     private boolean playing;
     private volatile boolean ending;
     private long readyMs = READY_MS;
@@ -85,11 +103,31 @@
         this.places = new Places();
         this.daemons = new DaemonProcess[scenario.proxies().count()];
         this.up = new boolean[daemons.length];
+        this.away = new long[daemons.length];
         this.stage = new Stage(scenario, seed, SLACK_US, this);
         this.clock = new WorldClock(group.next(), stage);
         this.servers = new StandInServers(clock, stage, places, daemons.length);
         this.discovery = new StandInDiscovery(clock, stage, places, scenario);
         this.clients = new ClientDriver(clock, stage, places, scenario);
+        if (scenario.peers() == null) {
+            relay = null;
+            timeline = null;
+            fleetFile = null;
+        } else {
+            long period = scenario.peers().periodUs();
+            long bound = FleetSettings.usual("kit", "n", 0, daemons.length, period, scenario.peers().goneUs())
+                    .agreeWithinUs(daemons.length) + JUDGE_SLACK_US;
+            this.timeline = new FleetTimeline(daemons.length, bound);
+            Troubles troubles = new Troubles(Chance.of(seed, "datagrams"));
+            this.relay = new PeerRelay(group.next(), places, daemons.length, troubles, timeline::cut);
+            this.fleetFile = Files.writeString(folder.resolve("fleet.toml"), String.format(Locale.ROOT,
+                    "fleet = \"%s\"%nperiod = \"%dus\"%ngone-after = \"%dus\"%nevents = \"%s\"%n",
+                    "kit-" + Long.toHexString(seed), period, scenario.peers().goneUs(),
+                    folder.toAbsolutePath().resolve("fleet-%n.json")));
+            if (scenario.peers().loss() > 0) {
+                relay.trouble(null, null, scenario.peers().loss(), 0, 0, 0, Range.of(0));
+            }
+        }
     }
 
     private static void checkRoom(Scenario scenario) throws BadFileException {
@@ -103,6 +141,13 @@
             throw new BadFileException(scenario.name() + ": needs " + proxies * PROXY_KB / 1024 + " MB for " + proxies
                     + " client proxies, and this machine has " + availableKb / 1024 + " MB left");
         }
+        if (scenario.faults().stream().anyMatch(f -> f.kind() == Scenario.Kind.CLOCK)) {
+            throw new BadFileException(scenario.name() + ": clocks of processes can't be made to jump; emulate plays it on"
+                    + " virtual time");
+        }
+        if (scenario.peers() != null && scenario.peers().plain()) {
+            throw new BadFileException(scenario.name() + ": peers.detector: processes have the full one alone");
+        }
         if (scenario.fleet() * proxies > Places.MOST_SERVERS / 4) {
             throw new BadFileException(scenario.name() + ": needs " + scenario.fleet() * proxies + " listeners, an"
                     + " address of each server for each client proxy; " + Places.MOST_SERVERS / 4 + " at most");
@@ -136,12 +181,17 @@
                     return null;
                 });
                 watch();
+                endedAtMs = System.currentTimeMillis();
                 result = onLoop(() -> {
                     World.Result r = stage.finish();
                     clock.stop();
                     ending = true;
                     return r;
                 });
+                RuntimeException defect = onLoop(clock::defect);
+                if (defect != null) {
+                    failures.add("the kit: " + defect + " at " + defect.getStackTrace()[0]);
+                }
                 if (servers.broken() != null) {
                     failures.add("the kit: " + servers.broken().getMessage());
                 }
@@ -155,16 +205,33 @@
             onLoop(() -> {
                 servers.close();
                 discovery.close();
+                if (relay != null) {
+                    relay.close();
+                }
                 return null;
             });
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
         }
+        if (result != null && timeline != null) {
+            result = result.withFleet(judged());
+        }
         List<Rehearsal.Quarter> quarters = quarters();
         leaks(quarters);
         return new Rehearsal(result, null, List.copyOf(failures), quarters, new double[] {clock.lateMs(50),
             clock.lateMs(99), clock.lateMs(100)}, version, Version.OWN);
     }
 
+    private FleetReport judged() throws IOException {
+        for (int i = 0; i < daemons.length; i++) {
+            timeline.read(i, folder.resolve("fleet-n" + i + ".json"));
+        }
+        FleetJudge judge = timeline.judged(endedAtMs);
+        if (timeline.changes() == 0) {
+            failures.add("client proxies kept no event log: is the command that starts them one that knows fleets?");
+        }
+        return new FleetReport(judge.breaches(), judge.breachCount(), null, daemons.length, stage.endsAt(), true);
+    }
+
     /** Other bounds of the waits for a client proxy to be ready, and to end. */
     RealRun patience(long forReadyMs, long forEndMs) {
         readyMs = forReadyMs;
@@ -193,6 +260,9 @@
 
     /** Starts all and waits until they are ready; gives their version. */
     private String begin() throws IOException, InterruptedException {
+        if (relay != null) {
+            relay.open();
+        }
         List<ChannelFuture> bound = new ArrayList<>();
         onLoop(() -> {
             for (int i = 0; i < daemons.length; i++) {
@@ -313,7 +383,9 @@
         known.servers().forEach(s -> servers.changed(s.address()));
         DaemonProcess d = new DaemonProcess(proxy, command, root, folder, DaemonProcess.config(scenario, proxy,
                 seed * 1_000_003 + proxy, places.daemon(proxy), places.discovery(proxy),
-                discovery.line(proxy, known)), places.daemon(proxy));
+                discovery.line(proxy, known), relay == null ? null : new DaemonProcess.Peering(
+                places.peerListen(proxy), IntStream.range(0, daemons.length).mapToObj(other ->
+                places.peer(proxy, other)).toList(), fleetFile)), places.daemon(proxy));
         daemons[proxy] = d;
         d.onExit(code -> clock.loop.execute(() -> exited(d, code)));
     }
@@ -328,10 +400,21 @@
                     + (d.lastWords().isEmpty() ? "" : ": " + d.lastWords()));
         }
         up[d.number()] = false;
-        clock.run(() -> stage.ended(d.number(), d.killed(), () -> relaunch(d.number())));
+        if (timeline != null) {
+            timeline.ended(d.number());
+        }
+        clock.run(() -> stage.ended(d.number(), d.killed(), () -> relaunch(d.number(), away[d.number()])));
     }
 
-    private void relaunch(int proxy) {
+    private void relaunch(int proxy, long awayUs) {
+        away[proxy] = 0;
+        if (awayUs > 0) {
+            clock.loop.schedule(() -> relaunch(proxy, 0), awayUs, TimeUnit.MICROSECONDS);
+            return;
+        }
+        if (ending) {
+            return;
+        }
         try {
             launch(proxy, stage.begin(proxy));
             DaemonProcess d = daemons[proxy];
@@ -360,14 +443,44 @@
     }
 
     @Override
-    public void kill(int proxy) {
+    public void kill(int proxy, long awayUs) {
         up[proxy] = false;
+        away[proxy] = awayUs;
         daemons[proxy].kill();
     }
 
+    @Override
+    public void pause(int proxy, long us) {
+        DaemonProcess d = daemons[proxy];
+        stands(d, true);
+        clock.loop.schedule(() -> stands(d, false), us, TimeUnit.MICROSECONDS);
+    }
+
+    private void stands(DaemonProcess d, boolean still) {
+        try {
+            if (!d.alive()) {
+                return;
+            }
+            if (timeline != null) {
+                timeline.stands(d.number(), still);
+            }
+            d.stands(still);
+        } catch (IOException e) {
+            failures.add("client proxy " + d.number() + " could not be stopped or set going again: " + e.getMessage());
+        }
+    }
+
+    @Override
+    public PeerFaults peerFaults() {
+        return relay;
+    }
+
     @Override
     public void end(int proxy) {
         DaemonProcess d = daemons[proxy];
+        if (timeline != null) {
+            timeline.leaves(proxy);
+        }
         d.end();
         clock.loop.schedule(() -> {
             up[proxy] &= daemons[proxy] != d;
--- a/src/main/java/mulleinfront/kit/Rehearsal.java
+++ b/src/main/java/mulleinfront/kit/Rehearsal.java
@@ -41,6 +41,6 @@
         if (lateMs[1] > BUSY_P99_MS) {
             return Verdict.TOO_BUSY;
         }
-        return sockets.breachCount() > 0 ? Verdict.RULE_BROKEN : Verdict.KEPT;
+        return sockets.broken() > 0 ? Verdict.RULE_BROKEN : Verdict.KEPT;
     }
 }
--- a/src/main/java/mulleinfront/kit/Report.java
+++ b/src/main/java/mulleinfront/kit/Report.java
@@ -127,7 +127,7 @@
     private static String words(Rehearsal r, boolean anyVersion) {
         return switch (r.verdict(anyVersion)) {
             case KEPT -> "all four rules kept";
-            case RULE_BROKEN -> r.sockets().breachCount() + " broken rules, the first of them above";
+            case RULE_BROKEN -> r.sockets().broken() + " broken rules, the first of them above";
             case FAILED -> "a client proxy failed";
             case TOO_BUSY -> String.format(Locale.ROOT, "none: the machine was too busy (stand-ins %.1f ms late at p99,"
                     + " %.0f ms at most); end what else runs, or take a smaller scenario", r.lateMs()[1],
--- a/src/main/java/mulleinfront/kit/WorldClock.java
+++ b/src/main/java/mulleinfront/kit/WorldClock.java
@@ -21,6 +21,7 @@
     private boolean started;
     private boolean over;
     private boolean running;
+    private RuntimeException defect;
     private long armedAt = Long.MAX_VALUE;
     private ScheduledFuture<?> armed;
 
@@ -54,6 +55,11 @@
         return at == 0 ? 0 : (started ? startMillis : System.currentTimeMillis()) + at / 1000;
     }
 
+    /** What went wrong first in the world's own code; null if nothing did. */
+    RuntimeException defect() {
+        return defect;
+    }
+
     /** Does something in the world as it is now, or after what is being done there; on the loop. */
     void run(Runnable news) {
         if (running) {
@@ -65,6 +71,8 @@
             try {
                 stage.runUntil(now());
                 news.run();
+            } catch (RuntimeException e) {
+                defect = defect == null ? e : defect;
             } finally {
                 running = false;
             }
--- a/src/main/java/mulleinfront/manage/Calls.java
+++ b/src/main/java/mulleinfront/manage/Calls.java
@@ -1,6 +1,7 @@
 package mulleinfront.manage;
 
 import java.util.Locale;
+import java.util.function.Consumer;
 
 /** What operators may call, and the words of the answers: {@code +OK ...} or {@code -ERR ...}, one line each. */
 public final class Calls {
@@ -23,14 +24,45 @@
 
         /** Takes clients again; a second call changes nothing. */
         void resume();
+
+        /** What it knows of the fleet that it is a member of, one JSON object; null if it is in none. */
+        default String members() {
+            return null;
+        }
+
+        /** Tells the fleet that it goes; false: it still takes clients, and so uses hosts. */
+        default boolean leave() {
+            return false;
+        }
+
+        /** Tells somebody of each change in the fleet, one JSON object each; false if there is no room for one more. */
+        default boolean watch(Consumer<String> lines) {
+            return false;
+        }
+
+        /** Tells them no more. */
+        default void unwatch(Consumer<String> lines) { }
     }
 
+    private static final String NO_FLEET = "-ERR this client proxy is in no fleet";
+
     private final Process process;
 
     public Calls(Process process) {
         this.process = process;
     }
 
+    /**
+     * Begins an answer that goes on, if the line asks for one.
+     *
+     * @param lines told each line of it, without its end
+     * @return to be called when nobody reads it any more; null if the line asks for none, or it can't be had
+     */
+    public Runnable begin(String line, Consumer<String> lines) {
+        boolean watches = line.strip().toLowerCase(Locale.ROOT).equals("fleet watch");
+        return watches && process.members() != null && process.watch(lines) ? () -> process.unwatch(lines) : null;
+    }
+
     /**
      * Does what a line names.
      *
@@ -45,10 +77,22 @@
             case "refusals" -> {
                 return "+OK " + process.refusals();
             }
+            case "fleet members" -> {
+                String members = process.members();
+                return members == null ? NO_FLEET : "+OK " + members;
+            }
+            case "fleet leave" -> {
+                return process.members() == null ? NO_FLEET : process.leave() ? "+OK left"
+                        : "-ERR it takes clients and so uses hosts: quiesce first";
+            }
+            case "fleet watch" -> {
+                return process.members() == null ? NO_FLEET : "-ERR there are too many who watch";
+            }
             case "quiesce" -> process.quiesce();
             case "resume" -> process.resume();
             default -> {
-                return "-ERR unknown call; there are health, refusals, quiesce and resume";
+                return "-ERR unknown call; there are health, refusals, quiesce, resume,"
+                        + " fleet members, fleet watch and fleet leave";
             }
         }
         return "+OK " + process.standing();
--- a/src/main/java/mulleinfront/manage/ManagementServer.java
+++ b/src/main/java/mulleinfront/manage/ManagementServer.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -29,6 +30,8 @@
     public static final int MOST = 8;
     /** Longest stay of a caller, milliseconds. */
     static final long PATIENCE_MS = 5_000;
+    /** A caller whose answer goes on. */
+    private static final AttributeKey<Boolean> READS_ON = AttributeKey.valueOf(ManagementServer.class, "reads on");
 
     private final ArrayDeque<Channel> callers = new ArrayDeque<>();
     private final EventLoop loop;
@@ -65,7 +68,11 @@
         }
         callers.add(ch);
         ch.closeFuture().addListener(f -> callers.remove(ch));
-        loop.schedule(() -> ch.close(), PATIENCE_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> {
+            if (!ch.hasAttr(READS_ON)) {
+                ch.close();
+            }
+        }, PATIENCE_MS, TimeUnit.MILLISECONDS);
         answerOn(ch, calls);
     }
 
@@ -85,9 +92,26 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-            if (!told) {
-                tell(ctx, calls.answer(line.toString(StandardCharsets.US_ASCII)));
+            if (told) {
+                return;
             }
+            String call = line.toString(StandardCharsets.US_ASCII);
+            Runnable end = calls.begin(call, more -> {
+                if (ctx.channel().isWritable()) {
+                    ctx.writeAndFlush(Unpooled.copiedBuffer(more + "\n", StandardCharsets.US_ASCII));
+                } else {
+                    // Whoever does not read what it asked for is not waited for.
+                    ctx.close();
+                }
+            });
+            if (end == null) {
+                tell(ctx, calls.answer(call));
+                return;
+            }
+            told = true;
+            ctx.channel().attr(READS_ON).set(true);
+            ctx.channel().closeFuture().addListener(f -> end.run());
+            ctx.writeAndFlush(Unpooled.copiedBuffer("+OK watching\n", StandardCharsets.US_ASCII));
         }
 
         /** A line that is too long, or a connection that broke. */
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -38,9 +38,11 @@
 import mulleinfront.core.Standing;
 import mulleinfront.core.Time;
 import mulleinfront.core.Wire;
+import mulleinfront.gossip.Membership;
 import mulleinfront.manage.Calls;
 import mulleinfront.manage.ManagementServer;
 import mulleinfront.settings.Config;
+import mulleinfront.settings.FleetFile;
 
 /**
  * A client proxy on sockets: a {@link Core} whose time is an event loop's and whose wire are connections.
@@ -77,6 +79,8 @@
     private ServerSocketChannel inherited;
     private Channel management;
     private Refusals refusals;
+    /** What it is in a fleet; null while it is in none, and then nothing of that is loaded. */
+    private Membership membership;
 
     private ClientProxy(Config config, EventLoopGroup group) {
         this.config = config;
@@ -298,6 +302,11 @@
         }
     }
 
+    /** Makes it a member of a fleet; others hear of it as soon as its address can be had. */
+    public void join(FleetFile file) throws IOException {
+        membership = Membership.join(loop, Upstream.BUFFERS, clock::now, config.seed(), file, core::living);
+    }
+
     /** Only where somebody may ask: nothing of it is loaded elsewhere. */
     private void countRefusals() {
         refusals = new Refusals(config.settings().classes());
@@ -338,6 +347,33 @@
         @Override
         public void resume() {
             each(p -> p.standing.resume());
+            if (membership != null) {
+                membership.comeBack();
+            }
+        }
+
+        @Override
+        public String members() {
+            return membership == null ? null : membership.members();
+        }
+
+        @Override
+        public boolean leave() {
+            boolean may = standing.sendsAway();
+            if (may) {
+                membership.leave();
+            }
+            return may;
+        }
+
+        @Override
+        public boolean watch(Consumer<String> lines) {
+            return membership != null && membership.watch(lines);
+        }
+
+        @Override
+        public void unwatch(Consumer<String> lines) {
+            membership.unwatch(lines);
         }
 
         /** At once for the one that owns the door, so that its answer tells what holds. */
@@ -368,6 +404,9 @@
     /** Serves to the end what clients have sent or are about to; the future is done when all has ended. */
     public Future<?> drain() {
         System.err.println("mulleinfront: told to end; finishing what is open");
+        if (membership != null) {
+            loop.execute(membership::leave);
+        }
         loop.execute(() -> frontend.drain(() -> {
             discovery.stop();
             if (management != null) {
@@ -387,6 +426,9 @@
         loop.execute(() -> {
             frontend.close();
             upstream.close();
+            if (membership != null) {
+                membership.close();
+            }
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         });
         return group.terminationFuture();
--- a/src/main/java/mulleinfront/proxy/Serve.java
+++ b/src/main/java/mulleinfront/proxy/Serve.java
@@ -1,12 +1,15 @@
 package mulleinfront.proxy;
 
 import io.netty.util.concurrent.Future;
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +18,7 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import mulleinfront.settings.Config;
+import mulleinfront.settings.FleetFile;
 import mulleinfront.settings.Machine;
 import sun.misc.Signal;
 
@@ -27,8 +31,9 @@
      * it read its configuration again, also one that comes before it is ready.
      *
      * @param machine the file that says what to use of a machine, or null: one event loop, as deployed
+     * @param fleetFile the file that makes it a member of a fleet, or null: the one that the configuration names, if any
      */
-    public static void serve(String machine) throws Exception {
+    public static void serve(String machine, String fleetFile) throws Exception {
         logPlainly();
         String file = System.getenv("NODE_CONFIG");
         CompletableFuture<List<ClientProxy>> started = new CompletableFuture<>();
@@ -38,9 +43,18 @@
         if (inherited != null && machine != null) {
             throw new IOException("--machine can't go with NODE_INHERITED_FD: one socket has one event loop");
         }
+        String fleet = fleetFile == null ? config.fleet() : fleetFile;
+        if (fleet != null && machine != null) {
+            throw new IOException("--machine can't go with a fleet: each event loop would be a member of its own");
+        }
+        FleetFile member = fleet == null ? null
+                : FleetFile.load(Path.of(fleet), Files.readAllBytes(Path.of(file)));
         List<ClientProxy> proxies = machine == null ? List.of(ClientProxy.start(config, inherited))
                 : start(config, Machine.load(Path.of(machine)));
         ClientProxy.operate(proxies);
+        if (member != null) {
+            proxies.get(0).join(member);
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             proxies.stream().map(ClientProxy::drain).toList().forEach(Future::awaitUninterruptibly);
         }));
@@ -103,6 +117,8 @@
      * for the time zone: a warning that descriptors have run out would end the thread that gives it.
      */
     private static void logPlainly() {
+        // By itself Netty would take up the library that keeps event logs, which is loaded only where one is kept.
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
         LogManager.getLogManager().reset();
         Logger.getLogger("").addHandler(new Handler() {
             @Override
--- a/src/main/java/mulleinfront/settings/Config.java
+++ b/src/main/java/mulleinfront/settings/Config.java
@@ -28,10 +28,11 @@
  * @param sockets descriptors that this client proxy may hold
  * @param dialTimeoutUs time within which a connection must have come up
  * @param known the list of hosts as last held, perhaps old; null if there is none
+ * @param fleet the file that makes it a member of a fleet; null: it is none
  */
 public record Config(InetSocketAddress listen, InetSocketAddress management, InetSocketAddress discovery, long seed,
         Settings settings, List<String> zones, List<String> kinds, List<String> tenants, double cores,
-        double requestsPerS, int limit, int sockets, long dialTimeoutUs, Listing known) {
+        double requestsPerS, int limit, int sockets, long dialTimeoutUs, Listing known, String fleet) {
 
     /** What the program is sized for as deployed; a lower limit is kept, a higher one used only by {@link Machine}. */
     private static final int MOST_SOCKETS = 1024;
@@ -59,6 +60,7 @@
         InetSocketAddress discovery = null;
         String seed = null;
         Listing known = null;
+        String fleet = null;
         Limits limits = Limits.NONE;
         SettingsReader settings = null;
         try (JsonParser in = Listing.JSON.createParser(json)) {
@@ -77,6 +79,7 @@
                     case "seed" -> seed = in.getText();
                     case "limits" -> limits = limits(in);
                     case "known" -> known = Listing.read(in);
+                    case "fleet" -> fleet = in.getText();
                     case "settings" -> settings = SettingsReader.read(in);
                     default -> in.skipChildren();
                 }
@@ -89,13 +92,13 @@
         return new Config(listen, management, discovery, seed(seed), settings.toSettings(),
                 settings.names("azs"), settings.names("kinds"), settings.tenants(), limits.cores(),
                 settings.requestsPerS(), limits.sockets(), Math.min(MOST_SOCKETS, limits.sockets()),
-                settings.dialTimeoutUs(), known);
+                settings.dialTimeoutUs(), known, fleet);
     }
 
     /** The same on another port. */
     public Config on(int port) {
         return new Config(new InetSocketAddress(listen.getAddress(), port), management, discovery, seed, settings, zones,
-                kinds, tenants, cores, requestsPerS, limit, sockets, dialTimeoutUs, known);
+                kinds, tenants, cores, requestsPerS, limit, sockets, dialTimeoutUs, known, fleet);
     }
 
     /** One of several client proxies in a process, each an instance to the module. */
@@ -104,7 +107,7 @@
         Settings shared = new Settings(s.classes(), s.tenantShares(), s.overShareWorth(), s.instances() * of,
                 s.probePrice(), s.subscribe(), s.weightsVary(), s.limits(), s.contract());
         return new Config(listen, management, discovery, seed + number * SEED_STEP, shared, zones, kinds, tenants, cores,
-                requestsPerS / of, limit, itsSockets, dialTimeoutUs, known);
+                requestsPerS / of, limit, itsSockets, dialTimeoutUs, known, fleet);
     }
 
     /** What the platform allows the process. */
--- /dev/null
+++ b/src/test/java/mulleinfront/kit/FleetProcessesTest.java
@@ -0,0 +1,107 @@
+package mulleinfront.kit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import mulleinfront.emulator.FleetJudge;
+import mulleinfront.emulator.ScenarioReader;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+
+/**
+ * Processes of the program that know each other, with relays between them that lose, cut and pause. What they say is
+ * judged by their event logs, as on virtual time. Nothing here goes by speed: the bounds are those of the settings.
+ */
+@Execution(ExecutionMode.CONCURRENT)
+class FleetProcessesTest {
+    private static final String DAEMON = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
+            + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx96m -cp '" + System.getProperty("java.class.path")
+            + "' mulleinfront.Main serve";
+
+    @TempDir
+    Path folder;
+
+    private Rehearsal play(String lines) throws Exception {
+        Path file = Files.writeString(folder.resolve("day.toml"), "[scenario]\ntitle = \"a test\"\nworld = \""
+                + Path.of("scenarios/fleet/nine.toml").toAbsolutePath() + "\"\n" + lines);
+        return new RealRun(ScenarioReader.read(file), 1, DAEMON, Path.of("").toAbsolutePath(), folder, line -> { })
+                .play();
+    }
+
+    private List<String> said(int member, String what) throws Exception {
+        return Files.readAllLines(folder.resolve("fleet-n" + member + ".json")).stream()
+                .filter(l -> l.contains(what)).toList();
+    }
+
+    @Test
+    void nineProcessesThreeKilledAtOnceThenACutThatHeals() throws Exception {
+        Rehearsal r = play("""
+                length = "38s"
+                settle = "3s"
+                [load]
+                rate = "20/s"
+                [peers]
+                period = "200ms"
+                [[fault]]
+                do = "datagrams"
+                at = "0s"
+                lose = "5%"
+                [[fault]]
+                do = "kill-proxy"
+                at = "2s"
+                count = 3
+                within = ["0s", "100ms"]
+                down = "11s"
+                [[fault]]
+                do = "cut-peers"
+                at = "17s"
+                for = "8s"
+                from = "0-4"
+                [[fault]]
+                do = "pause-proxy"
+                at = "17s"
+                proxy = 8
+                for = "2s"
+                """);
+        assertEquals(List.of(), r.failures());
+        assertEquals(List.of(), r.sockets().breaches());
+        assertEquals(List.of(), r.sockets().fleet().breaches());
+        // The judge had something to judge: deaths, a cut seen from both sides, and its end.
+        assertTrue(said(0, "\"to\":\"failed\"").size() >= 4, "n0 saw the other side fail");
+        assertTrue(said(7, "\"to\":\"failed\"").size() >= 5, "n7 saw the other side fail");
+        assertTrue(said(0, "\"reach\":\"majority\"").size() >= 1);
+        assertTrue(said(7, "\"reach\":\"minority\"").size() >= 1);
+    }
+
+    @Test
+    void theJudgeFindsAProcessThatLies() throws Exception {
+        Rehearsal r = play("""
+                length = "16s"
+                settle = "1s"
+                [proxies]
+                count = 3
+                [load]
+                rate = "20/s"
+                [peers]
+                period = "50ms"
+                """);
+        assertEquals(List.of(), r.sockets().fleet().breaches());
+        // One line of a log is not as it was: the same judge, the same processes.
+        FleetTimeline timeline = new FleetTimeline(3, 1_000_000);
+        Path lie = folder.resolve("lie.json");
+        List<String> lines = Files.readAllLines(folder.resolve("fleet-n0.json"));
+        lines.replaceAll(l -> l.contains("\"member\":1,") ? l.replace("\"to\":\"alive\"", "\"to\":\"failed\"") : l);
+        Files.write(lie, lines);
+        timeline.read(0, lie);
+        timeline.read(1, folder.resolve("fleet-n1.json"));
+        timeline.read(2, folder.resolve("fleet-n2.json"));
+        FleetJudge judge = timeline.judged(System.currentTimeMillis());
+        assertTrue(judge.breaches().stream().anyMatch(b -> b.rule() == FleetJudge.Rule.CALLED_FAILED),
+                judge.breaches().toString());
+    }
+}
