Lists of hosts may be laid out over any number of lines; a drain in one was never heard

Seen by reading: a watch was framed by lines (LineBasedFrameDecoder in Discovery.Watch.pipeline), so of a list that is indented each line was parsed by itself, failed as malformed, and ended the watch before any drain in it was heard. Ruled out: the first list and the heartbeat, which are framed alike.

The watch is framed by JSON values (JsonObjectDecoder, of the library that is there already): several in a read, one in pieces, braces in names. White space between them is the heartbeat. With lines a list that was cut in its middle failed at the next heartbeat; so that white space in a list is no sign of life, one that has not come to its end after the time of silence has failed.

Tests: listsMayBeIndentedOverManyLines and listsMayShareAReadOrComeByTheByte fail without it ("failed" for the list); aListThatDoesNotGetToItsEndIsSilenceThoughTheHeartbeatGoesOn holds the last.

--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -12,15 +12,16 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.json.JsonObjectDecoder;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.NetUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -46,7 +47,7 @@
     /** News counts as told 4 s after a move: within that time a silent new address is asked again. */
     private static final long MOVED_SILENCE_MS = 1_800;
     private static final int CONNECT_MS = 1_000;
-    private static final int LONGEST_LINE = 4 * 1024 * 1024;
+    private static final int LONGEST_LIST = 4 * 1024 * 1024;
 
     /** Told of lists and of watches that failed. */
     interface Listener {
@@ -183,8 +184,7 @@
                 protected void initChannel(SocketChannel ch) {
                     channel = ch;
                     ch.pipeline().addLast(new ReadTimeoutHandler(patienceMs, TimeUnit.MILLISECONDS),
-                            new HttpResponseDecoder(), new Body(), new LineBasedFrameDecoder(LONGEST_LINE),
-                            Watch.this);
+                            new HttpResponseDecoder(), new Body(), new Objects(), Watch.this);
                 }
             };
         }
@@ -197,9 +197,9 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) throws IOException {
-            if (watch == this && line.isReadable()) {
-                Listing listing = Listing.parse(ByteBufUtil.getBytes(line));
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf object) throws IOException {
+            if (watch == this) {
+                Listing listing = Listing.parse(ByteBufUtil.getBytes(object));
                 if (!heard) {
                     heard = true;
                     ctx.pipeline().replace(ReadTimeoutHandler.class, null,
@@ -234,6 +234,47 @@
         }
     }
 
+    /**
+     * Lists, however they are laid out: on one line or indented over many, several in a read or one in pieces. White
+     * space between two is the heartbeat. One that has begun and does not get to its end is silence too, whatever
+     * white space follows.
+     */
+    private static final class Objects extends JsonObjectDecoder {
+        private Future<?> patience;
+
+        Objects() {
+            super(LONGEST_LIST);
+        }
+
+        @Override
+        protected ByteBuf extractObject(ChannelHandlerContext ctx, ByteBuf buffer, int index, int length) {
+            ended();
+            return super.extractObject(ctx, buffer, index, length);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+            if (patience == null && actualReadableBytes() > 0) {
+                patience = ctx.executor().schedule(() -> {
+                    ctx.fireExceptionCaught(new IOException("a list did not get to its end"));
+                }, SILENCE_MS, TimeUnit.MILLISECONDS);
+            }
+            super.channelReadComplete(ctx);
+        }
+
+        @Override
+        protected void handlerRemoved0(ChannelHandlerContext ctx) {
+            ended();
+        }
+
+        private void ended() {
+            if (patience != null) {
+                patience.cancel(false);
+                patience = null;
+            }
+        }
+    }
+
     /** Hands on what a watch's answer holds; any answer but 200, or its end, is the end of the watch. */
     private static final class Body extends MessageToMessageDecoder<HttpObject> {
         Body() {
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -5,6 +5,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import mulleinfront.proxy.Peers.Client;
 import mulleinfront.proxy.Peers.Discovery;
 import mulleinfront.proxy.Peers.Seen;
@@ -97,6 +100,66 @@
         watch.awaitEnd();
     }
 
+    private static void raw(Seen watch, String text) {
+        watch.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
+    private static String indented(String list) {
+        return list.replace("{", "{\n  ").replace(",", ",\n  ").replace("}", "\n}").replace("[", "[\n");
+    }
+
+    @Test
+    void listsMayBeIndentedOverManyLines() throws Exception {
+        // Guards rule 3: a watch framed by lines took each line of such a list for a broken one, and never heard of a drain.
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        Seen watch = discovery.asked();
+        raw(watch, indented(Peers.list(2, true, Peers.host("s", "127.0.0.1:1", "in_service"))) + "\n");
+        raw(watch, "\n");
+        raw(watch, indented(Peers.list(3, false, Peers.host("s", "127.0.0.1:1", "terminating"))) + "\n\n");
+        assertEquals("FULL [s 1 READY]", Peers.next(module.lists, "the whole list"));
+        assertEquals("DELTA [s 1 DRAINING]", Peers.next(module.lists, "the drain"));
+    }
+
+    @Test
+    void listsMayShareAReadOrComeByTheByte() throws Exception {
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        Seen watch = discovery.asked();
+        raw(watch, Peers.list(2, true, Peers.host("a}\\\"{b", "127.0.0.1:1", "in_service"))
+                + Peers.list(3, false, Peers.host("s", "127.0.0.1:1", "in_service")) + "\n");
+        assertEquals("FULL [a}\"{b 1 READY]", Peers.next(module.lists, "the first of two in a read"));
+        assertEquals("DELTA [s 1 READY]", Peers.next(module.lists, "the second"));
+        for (char c : indented(Peers.list(4, false, Peers.host("s", "127.0.0.1:1", "terminating"))).toCharArray()) {
+            raw(watch, String.valueOf(c));
+        }
+        assertEquals("DELTA [s 1 DRAINING]", Peers.next(module.lists, "the one in pieces"));
+        assertTrue(module.lists.isEmpty());
+    }
+
+    @Test
+    void aListThatDoesNotGetToItsEndIsSilenceThoughTheHeartbeatGoesOn() throws Exception {
+        // Guards rule 3: white space within a list must not pass for the sign of life of one that is over.
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        Seen watch = discovery.asked();
+        raw(watch, Peers.list(2, true, Peers.host("s", "127.0.0.1:1", "in_service")) + "\n{\"version\":3,");
+        assertEquals("FULL [s 1 READY]", Peers.next(module.lists, "the whole list"));
+        Thread heart = new Thread(() -> {
+            while (!watch.ended().isDone()) {
+                raw(watch, "\n");
+                try {
+                    watch.ended().get(200, TimeUnit.MILLISECONDS);
+                } catch (TimeoutException beatsOn) {
+                    // the next beat is due
+                } catch (InterruptedException | ExecutionException e) {
+                    throw new AssertionError(e);
+                }
+            }
+        });
+        heart.setDaemon(true);
+        heart.start();
+        assertEquals("failed", Peers.next(module.lists, "the failure"));
+        watch.awaitEnd();
+    }
+
     private void move(String address) throws Exception {
         proxy.reload(Config.parse(Peers.config(0, address, "", "null").getBytes(StandardCharsets.UTF_8)));
     }
