Where lists are pushed a start goes by the agent's list, not by the old one of its configuration

Ruled out: lists that are asked for, where known counts until the call that the module makes.

The agent answers at once, so a start waits for it, and goes by the list of its configuration only if the agent is silent for 1.5 s: discovery is down then and the agent has learnt nothing. A list that names nobody is a list too.

Test: wherePushedTheAgentsListGoesBeforeTheOneOfTheConfiguration fails without it (ready, 200 for 503).

--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -63,6 +63,8 @@
     /** How long an address may be in use by another before that is an error, and how often it is tried. */
     private static final long BIND_MS = 3_000;
     private static final long BIND_AGAIN_MS = 20;
+    /** How long a start waits for the agent that pushes lists before it goes by the list of its configuration. */
+    private static final long AGENT_WAIT_MS = 1_500;
     static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null, null);
 
     private final Config config;
@@ -392,15 +394,23 @@
         inherited = handedOver;
         upstream.begin();
         core.begin(maker, config.seed());
-        if (config.known() != null) {
-            discovery.take(config.known(), Source.CACHED);
-        }
-        if (!config.settings().subscribe()) {
+        if (config.settings().subscribe()) {
+            goByKnown();
+        } else {
+            // What the agent has counts as told from the first moment on, and the list of the configuration may be old:
+            // that one is for an agent that is silent, since it has learnt nothing then.
             discovery.watch();
+            loop.schedule(this::goByKnown, AGENT_WAIT_MS, TimeUnit.MILLISECONDS);
         }
         core.perform();
     }
 
+    private void goByKnown() {
+        if (config.known() != null && !discovery.hasHeard()) {
+            discovery.take(config.known(), Source.CACHED);
+        }
+    }
+
     /** Serves to the end what clients have sent or are about to; the future is done when all has ended. */
     public Future<?> drain() {
         System.err.println("mulleinfront: told to end; finishing what is open");
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -66,6 +66,7 @@
     private final Map<String, Integer> kinds = new HashMap<>();
     private final ListOrder order = new ListOrder();
     private long version = -1;
+    private boolean heardAny;
     private Watch watch;
 
     Discovery(Config config, EventLoop loop, Upstream upstream, Listener listener) {
@@ -88,6 +89,11 @@
         return !hosts.isEmpty();
     }
 
+    /** Whether there has been any list, one that names nobody too. */
+    boolean hasHeard() {
+        return heardAny;
+    }
+
     /** Asks for what changed and for all changes to come, unless that is asked for already. */
     void watch() {
         if (watch == null) {
@@ -133,6 +139,7 @@
      */
     void take(Listing listing, Source source) {
         boolean whole = source != Source.DELTA;
+        heardAny = true;
         version = whole ? listing.version() : Math.max(version, listing.version());
         List<Endpoint> endpoints = new ArrayList<>();
         Map<String, Upstream.Host> left = source == Source.DELTA ? new HashMap<>() : new HashMap<>(hosts);
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -50,10 +50,7 @@
     void pushedListsAreWatchedUnasked() throws Exception {
         // Guards deployments whose lists are pushed: there the module never asks, and is told of no failure.
         discovery = keep(new Discovery());
-        String config = Peers.config(0, discovery.server.address(), "", "null")
-                .replace("subscribe", "automatic");
-        proxy = ClientProxy.start(Config.parse(config.getBytes(StandardCharsets.UTF_8)),
-                (settings, seed, now, actions) -> module);
+        startPushed("null");
         Seen watch = discovery.asked();
         assertTrue(watch.message().first().startsWith("GET /api/targets?watch=1 "), watch.message().first());
         watch.reset();
@@ -61,6 +58,50 @@
         assertEquals("FULL []", Peers.next(module.lists, "the list"));
     }
 
+    private void startPushed(String known) throws Exception {
+        String config = Peers.config(0, discovery.server.address(), "", known).replace("subscribe", "automatic");
+        proxy = ClientProxy.start(Config.parse(config.getBytes(StandardCharsets.UTF_8)),
+                (settings, seed, now, actions) -> {
+                    module.actions = actions;
+                    return module;
+                });
+    }
+
+    private int ready() throws Exception {
+        return client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status();
+    }
+
+    @Test
+    void wherePushedTheAgentsListGoesBeforeTheOneOfTheConfiguration() throws Exception {
+        // Guards rule 3: what the agent has counts as told from the first moment, and the other list may be old.
+        Server drains = host(s -> s.served("x"));
+        discovery = keep(new Discovery());
+        startPushed(Peers.list(1, true, Peers.host("s", drains.address(), "in_service")));
+        Seen watch = discovery.asked();
+        assertEquals(503, ready(), "nothing is known yet");
+        module.onRequest = r -> {
+            module.actions.send(r.id(), "s", 0);
+            module.actions.refuse(r.id(), 0);
+        };
+        assertEquals(503, client().unsafe("early", 20_000).read().status());
+        Discovery.push(watch, Peers.list(9, true, Peers.host("s", drains.address(), "terminating"),
+                Peers.host("t", drains.address(), "in_service")));
+        assertEquals("FULL [s 1 DRAINING, t 1 READY]", Peers.next(module.lists, "the agent's list, as the first"));
+        assertEquals(200, ready());
+        assertEquals(503, client().unsafe("late", 20_000).read().status());
+        assertEquals(0, drains.seen.size(), "nothing went to a host that drains");
+    }
+
+    @Test
+    void anAgentThatIsSilentLeavesTheListOfTheConfiguration() throws Exception {
+        // Discovery is down: the agent has learnt nothing, and a start must not wait for its return.
+        discovery = keep(new Discovery());
+        startPushed(Peers.list(1, true, Peers.host("s", "127.0.0.1:1", "in_service")));
+        Peers.next(discovery.server.seen, "the watch that is not answered");
+        assertEquals("CACHED [s 1 READY]", Peers.next(module.lists, "the list known"));
+        assertEquals(200, ready());
+    }
+
     @Test
     void aHostThatMovesIsReachedAnewAndOneThatDrainsIsLeft() throws Exception {
         Server before = host(s -> s.served("x"));
