The window for repeats is checked again when a request goes out, not only when that is decided

Seen by reading: a keyed request that may have run is sent again if the window is open at the decision (Logic.mayResend); the last question before its first byte (the wanted of Core.attempt) asked whether it is still open and its host ready, and nothing of the window. Ruled out: holds, which ask mayResend each time; zone and cell, which do not change meanwhile.

Core keeps when the first attempt that may have run was sent and asks on writing. What is not written is known not to have run, so the request fails at once.

--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -71,6 +71,8 @@
         private int outNumber;
         private int attempts;
         private boolean mayHaveRun;
+        /** When the first attempt that may have run was sent; the window for repeats counts from then. */
+        private long mayHaveRunAt;
         private boolean answered;
         /** The request is still being read; what it may take from its last byte on, microseconds. */
         private boolean reading;
@@ -349,7 +351,7 @@
                 || number >= settings.limits().maxAttempts();
         long within = x.reading ? Wire.OPEN : timeoutUs == 0 ? left : Math.min(left, timeoutUs);
         Wire.Attempt made = vain ? null : wire.attempt(x.request.id(), number, hostId, x.call, within,
-                () -> !x.answered && ready.contains(hostId), new Wire.End<>() {
+                () -> !x.answered && ready.contains(hostId) && mayRunNow(x), new Wire.End<>() {
                     @Override
                     public void ended(Outcome outcome, A answer) {
                         attemptEnded(x, number, sentAt, outcome, answer);
@@ -380,6 +382,15 @@
         made.start();
     }
 
+    /**
+     * Asked when the first byte is about to leave: a connection that comes up late may have crossed the end of the
+     * window that was open when the repeat was decided.
+     */
+    private boolean mayRunNow(Exchange<Q, A> x) {
+        return !x.mayHaveRun || x.type.effect() != Effect.DEDUP
+                || time.now() < x.mayHaveRunAt + x.type.dedupWindowUs();
+    }
+
     private void reported(String hostId, double held) {
         run(() -> balancer.onReport(time.now(), hostId, held));
     }
@@ -403,7 +414,10 @@
 
     private void attemptEnded(Exchange<Q, A> x, int number, long sentAt, Outcome outcome, A answer) {
         x.out = null;
-        x.mayHaveRun |= !outcome.neverRan();
+        if (!outcome.neverRan() && !x.mayHaveRun) {
+            x.mayHaveRun = true;
+            x.mayHaveRunAt = sentAt;
+        }
         if (x.begun) {
             run(() -> forget(x));
         } else if (outcome == Outcome.OK && !x.answered) {
--- a/src/test/java/mulleinfront/core/CoreTest.java
+++ b/src/test/java/mulleinfront/core/CoreTest.java
@@ -28,6 +28,7 @@
 class CoreTest {
     private static final int SAFE = 0;
     private static final int UNSAFE = 1;
+    private static final int SOON = 3;
     private static final long MS = 1_000;
 
     private final EventQueue time = new EventQueue();
@@ -54,7 +55,8 @@
         return new Settings(List.of(
                 new RequestClass("safe", Effect.RETRYABLE, null, 0, 1, 0, 500_000, 0, 1_000_000),
                 new RequestClass("unsafe", Effect.FRAGILE, null, 0, 1, 0, 500_000, 0, 1_000_000),
-                new RequestClass("keyed", Effect.DEDUP, DedupScope.ZONE, 20_000_000, 1, 0, 500_000, 0, 1_000_000)),
+                new RequestClass("keyed", Effect.DEDUP, DedupScope.ZONE, 20_000_000, 1, 0, 500_000, 0, 1_000_000),
+                new RequestClass("soon", Effect.DEDUP, DedupScope.ZONE, 300_000, 1, 0, 500_000, 0, 1_000_000)),
                 List.of(), 1, 1, 0, true, false, new Limits(3, true, true, 2_000_000, 5_000_000),
                 new Contract(10_000_000, 0.2, 20_000_000));
     }
@@ -394,6 +396,44 @@
         nothingFollows();
     }
 
+    /** A second attempt that is decided while it may be, and whose connection comes up at this time. */
+    private void again(int type, Outcome first, long upAt) {
+        onEnd = e -> {
+            if (e.attempt() == 0) {
+                module.send("r", "i", 0);
+            } else {
+                module.fail("r");
+            }
+        };
+        sent(type);
+        time.runUntil(100 * MS);
+        attempts.get(0).end(first);
+        said("ended 0 " + first, "start r/1@i");
+        log.clear();
+        time.runUntil(upAt);
+        attempts.get(1).write();
+    }
+
+    @Test
+    void theWindowForRepeatsHoldsWhenTheRequestGoesOutAndNotWhenThatIsDecided() {
+        // The first went out at 0, and 300 ms later nobody remembers it.
+        again(SOON, Outcome.RESET, 300 * MS);
+        said("ended 1 IGNORED", "FAILED");
+        nothingFollows();
+    }
+
+    @Test
+    void untilThenItGoesOut() {
+        again(SOON, Outcome.RESET, 300 * MS - 1);
+        said("write r/1@i");
+    }
+
+    @Test
+    void noWindowBindsWhatHasSurelyNotRun() {
+        again(SOON, Outcome.QUEUE_FULL, 700 * MS);
+        said("write r/1@i");
+    }
+
     @Test
     void aHostThatCameBackMeanwhileIsWrittenTo() {
         sent(UNSAFE);
--- a/src/test/java/mulleinfront/proxy/Peers.java
+++ b/src/test/java/mulleinfront/proxy/Peers.java
@@ -6,10 +6,13 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.BlockingQueue;
@@ -277,6 +280,52 @@
         }
     }
 
+    /** A host whose queue of connections is full, so that none comes up until {@link #hear}. */
+    static final class Deaf implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> fill = new ArrayList<>();
+        private Socket last;
+
+        Deaf() throws Exception {
+            for (int i = 0; i < 8; i++) {
+                Socket s = new Socket();
+                try {
+                    s.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), 1000);
+                } catch (SocketTimeoutException full) {
+                    s.close();
+                    return;
+                }
+                fill.add(s);
+            }
+            throw new AssertionError("the queue never filled");
+        }
+
+        String address() {
+            return "127.0.0.1:" + server.getLocalPort();
+        }
+
+        /** Takes the connections that fill the queue, and then the one that waited. */
+        void hear() throws Exception {
+            server.setSoTimeout((int) Peers.PATIENCE_S * 1000);
+            for (int i = 0; i <= fill.size(); i++) {
+                last = server.accept();
+            }
+        }
+
+        boolean silent() throws Exception {
+            last.setSoTimeout((int) Peers.PATIENCE_S * 1000);
+            return last.getInputStream().read() < 0;
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket s : fill) {
+                s.close();
+            }
+        }
+    }
+
     static String host(String id, String address, String state) {
         return "{\"id\":\"" + id + "\",\"addr\":\"" + address + "\",\"zone\":\"east\","
                 + "\"kind\":\"m\",\"cell\":1,\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":0}";
--- a/src/test/java/mulleinfront/proxy/ProxyRig.java
+++ b/src/test/java/mulleinfront/proxy/ProxyRig.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import mulleinfront.Balancer;
 import mulleinfront.Balancer.Actions;
 import mulleinfront.Balancer.AttemptEnd;
@@ -89,9 +90,14 @@
     }
 
     void start(String limits, String... hosts) throws Exception {
+        start(limits, config -> config, hosts);
+    }
+
+    /** With a configuration that the test has changed. */
+    void start(String limits, UnaryOperator<String> changed, String... hosts) throws Exception {
         discovery = keep(new Discovery());
         String known = Peers.list(1, true, hosts);
-        Config config = Config.parse(Peers.config(0, discovery.server.address(), limits, known)
+        Config config = Config.parse(changed.apply(Peers.config(0, discovery.server.address(), limits, known))
                 .getBytes(StandardCharsets.UTF_8));
         proxy = ClientProxy.start(config, (settings, seed, now, actions) -> {
             module.actions = actions;
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -21,6 +21,7 @@
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.Balancer.Request;
 import mulleinfront.proxy.Peers.Client;
+import mulleinfront.proxy.Peers.Deaf;
 import mulleinfront.proxy.Peers.Discovery;
 import mulleinfront.proxy.Peers.Message;
 import mulleinfront.proxy.Peers.Seen;
@@ -261,50 +262,4 @@
         client().unsafe("id1", 20_000).read();
         assertEquals(Outcome.OK, Peers.next(module.probes, "the probe's end"));
     }
-
-    /** A host whose queue of connections is full, so that none comes up until {@link #hear}. */
-    private static final class Deaf implements AutoCloseable {
-        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        private final List<Socket> fill = new ArrayList<>();
-        private Socket last;
-
-        Deaf() throws Exception {
-            for (int i = 0; i < 8; i++) {
-                Socket s = new Socket();
-                try {
-                    s.connect(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()), 1000);
-                } catch (SocketTimeoutException full) {
-                    s.close();
-                    return;
-                }
-                fill.add(s);
-            }
-            throw new AssertionError("the queue never filled");
-        }
-
-        String address() {
-            return "127.0.0.1:" + server.getLocalPort();
-        }
-
-        /** Takes the connections that fill the queue, and then the one that waited. */
-        void hear() throws Exception {
-            server.setSoTimeout((int) Peers.PATIENCE_S * 1000);
-            for (int i = 0; i <= fill.size(); i++) {
-                last = server.accept();
-            }
-        }
-
-        boolean silent() throws Exception {
-            last.setSoTimeout((int) Peers.PATIENCE_S * 1000);
-            return last.getInputStream().read() < 0;
-        }
-
-        @Override
-        public void close() throws IOException {
-            server.close();
-            for (Socket s : fill) {
-                s.close();
-            }
-        }
-    }
 }
