A host moved to another address is reached there, also by what was on its way or comes back

Seen by reading: a move under the same id closes the host's idle connections (Discovery.take, hangUp) and nothing else. Ruled out: a host that is gone and listed anew, which is another Host object.

A connection knows where it leads; one that leads elsewhere is neither written to nor kept.

Tests: aHostThatMovesWhileAConnectionToItComesUpIsReachedWhereItIs and aConnectionInUseWhileItsHostMovesIsNotUsedAgain fail without it (written to the old address).

--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -249,7 +249,7 @@
                 return;
             }
             ChannelFuture up = bootstrap.clone().channelFactory(() -> made.channel)
-                    .handler(made.pipeline()).connect(host.address);
+                    .handler(made.pipeline()).connect(made.to);
             fresh++;
             open.add(made);
             up.channel().closeFuture().addListener(f -> open.remove(made));
@@ -269,8 +269,9 @@
 
         /**
          * The one place where a request goes out. While the connection came up the host may have been told
-         * to drain, or the request may have ended: then nothing is written, and that is known. A connection
-         * that does not take the whole of it says little of the host: a fresh one is tried.
+         * to drain, or the request may have ended: then nothing is written, and that is known. A host that was
+         * moved to another address is reached there. A connection that does not take the whole of it says little of
+         * the host: a fresh one is tried.
          */
         private void write(Connection c, boolean reused) {
             connection = c;
@@ -279,6 +280,15 @@
                 finish(Outcome.IGNORED, null);
                 return;
             }
+            if (!c.leadsToHost()) {
+                release();
+                if (fresh < Wire.MOST_FRESH) {
+                    connect();
+                } else {
+                    finish(Outcome.CONNECT_ERROR, null);
+                }
+                return;
+            }
             c.current = this;
             long leftMs = Math.max(1, (endNanos - System.nanoTime()) / 1_000_000);
             writtenAt = System.nanoTime();
@@ -405,6 +415,8 @@
     /** One connection to a host: busy with one attempt, or idle in its host's list, or closed. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Host host;
+        /** Where it leads; the host may be moved elsewhere meanwhile. */
+        private final InetSocketAddress to;
         private final HostChannel channel = new HostChannel();
         private final ByteBuf body = BUFFERS.buffer();
         private Attempt current;
@@ -439,6 +451,11 @@
 
         Connection(Host host) {
             this.host = host;
+            this.to = host.address;
+        }
+
+        private boolean leadsToHost() {
+            return to.equals(host.address);
         }
 
         ChannelInitializer<SocketChannel> pipeline() {
@@ -621,7 +638,7 @@
                 cut();
             }
             channel.config().setAutoRead(true);
-            if (reusable && !decoder.holdsMore() && host.ready && channel.isActive()) {
+            if (reusable && !decoder.holdsMore() && host.ready && leadsToHost() && channel.isActive()) {
                 idleAt = System.nanoTime();
                 host.resting.add(this);
                 idle.add(this);
