Connections of clients end by a half-close; a drain misses no leaving and cuts off no answer

Seen by reading Frontend, and by tests that force each: - next, tooLong and lastCall closed over whatever was unread: a reset, which may overtake the answer just written ("a close over unread bytes resets the connection"). - Once reading had stopped for good (readOn while deaf) nobody saw a client leave: its request could still be sent on, up to the end of the drain (3.6 s). - While much sent ahead waited, a read of 8 KB every 200 ms showed a leaving only seconds later. - An answer that was still being written counted as a resting connection (overdue): SIGTERM cut it off. Ruled out: attempts' connections, which are closed to be given up; answers that break off, which are reset on purpose.

A connection that owes its client nothing ends in one place (part): its own half is shut, what still comes is read and dropped, for 1 s at most (0.25 s at the process's end), and makes room first for others. During the drain what no longer counts is read and dropped too. Reads that bring something follow on each other; what waits is counted with its heads. An answer on its way has 2.3 s from its write, and the drain's time.

--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -511,10 +511,16 @@
         core.whole(x);
     }
 
-    /** The process is killed when the longest deadline and a little more is over: by then all is answered. */
-    void ending() {
+    /**
+     * The process is killed when the longest deadline and a little more is over: by then all is answered.
+     *
+     * @return the time until then, microseconds
+     */
+    long ending() {
         long longest = config.settings().classes().stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
-        core.endBy(clock.now() + Math.min(MOST_END_US, longest) + LAST_US);
+        long left = Math.min(MOST_END_US, longest) + LAST_US;
+        core.endBy(clock.now() + left);
+        return left;
     }
 
     /** The client closed its connection. */
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -60,8 +60,15 @@
     private static final int MOST_HELD = 8 * 1024 * 1024;
     /** One read at most, so that what is decoded after reading has been stopped stays small. */
     private static final int READ_BYTES = 8 * 1024;
-    /** While reading has stopped, one read now and then tells of a client that left. */
-    private static final long PEEK_MS = 200;
+    /**
+     * While reading has stopped, one read now and then tells of a client that left: the next one sooner if this one
+     * brought something, since its leaving stands behind all that it sent. So much is held of one client at most.
+     */
+    private static final long PEEK_MS = 100;
+    private static final long PEEK_ON_MS = 10;
+    private static final int MOST_PEEKED_BYTES = 16 * MOST_AHEAD_BYTES;
+    /** What a request that waits takes besides its body, about. */
+    private static final int HEAD_BYTES = 1024;
     /**
      * A connection without an open request ends after this long: the protocol allows it after 2 s, and a
      * client that says nothing or never gets to the end of a request is owed an end within 3 s.
@@ -84,8 +91,12 @@
     private static final long HEAD_MS = 2_600;
     /** A body or an answer that goes on while it comes ends when nothing of it has moved for this long. */
     private static final long STALLED_MS = 10_000;
-    /** How long what a client still sends is read and dropped after its answer, so that a reset does not undo that. */
+    /**
+     * How long what a client still sends is read and dropped after its last answer: closing over it would reset the
+     * connection, and the answer with it. At the end of the process there is less time for that.
+     */
     private static final long LINGER_MS = 1_000;
+    private static final long LAST_LINGER_MS = 250;
     /** A kit of another version must not judge this one. */
     private static final String VERSION = Version.HEADER + ": " + Version.OWN + "\r\n";
 
@@ -95,6 +106,8 @@
     private final int mostClients;
     /** Connections without an open request, the longest quiet first. */
     private final LinkedHashSet<Client> quiet = new LinkedHashSet<>();
+    /** Those on which nothing more is said, until the client has closed as well; the first to part first. */
+    private final LinkedHashSet<Client> parting = new LinkedHashSet<>();
     /** Those whose request or answer is going on while it comes. */
     private final LinkedHashSet<Client> flowing = new LinkedHashSet<>();
     private long held;
@@ -102,7 +115,8 @@
     private Channel server;
     private boolean sweeping;
     private boolean deaf;
-    private long mostEndNanos;
+    private long lastReadNanos;
+    private long lastAnswerNanos;
 
     Frontend(ClientProxy proxy, Standing standing, EventLoop loop, int mostClients) {
         this.mostClients = mostClients;
@@ -183,11 +197,15 @@
         }
     }
 
-    /** At the most, the longest quiet one makes room; where all have a request open, a new one must wait. */
+    /**
+     * At the most, one that has had its last answer makes room, or the longest quiet one; where all have a request
+     * open, a new one must wait.
+     */
     private void admit(Channel ch, Client client) {
-        if (clients.size() >= mostClients && !quiet.isEmpty()) {
-            Client longest = quiet.iterator().next();
-            quiet.remove(longest);
+        LinkedHashSet<Client> spare = parting.isEmpty() ? quiet : parting;
+        if (clients.size() >= mostClients && !spare.isEmpty()) {
+            Client longest = spare.iterator().next();
+            spare.remove(longest);
             longest.channel.close();
         }
         clients.add(ch);
@@ -196,7 +214,7 @@
     }
 
     private void acceptIfRoom(Channel client) {
-        client.parent().config().setAutoRead(clients.size() < mostClients || !quiet.isEmpty());
+        client.parent().config().setAutoRead(clients.size() < mostClients || !quiet.isEmpty() || !parting.isEmpty());
     }
 
     private void sweep() {
@@ -209,6 +227,11 @@
         for (Client c : flowing.toArray(Client[]::new)) {
             c.endIfStalled(now);
         }
+        long longAgo = now - TimeUnit.MILLISECONDS.toNanos(deaf ? LAST_LINGER_MS : LINGER_MS);
+        for (Client c; !parting.isEmpty() && (c = parting.iterator().next()).quietAt - longAgo < 0;) {
+            parting.remove(c);
+            c.channel.close();
+        }
     }
 
     int port() {
@@ -221,7 +244,7 @@
      */
     void drain(Runnable done) {
         standing.ending();
-        proxy.ending();
+        lastAnswerNanos = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(proxy.ending());
         loop.schedule(() -> {
             if (server != null) {
                 server.close();
@@ -229,7 +252,7 @@
         }, LISTEN_ON_MS, TimeUnit.MILLISECONDS);
         loop.schedule(() -> {
             deaf = true;
-            mostEndNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_READ_MS);
+            lastReadNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_READ_MS);
             clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
             clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
         }, DRAIN_MS, TimeUnit.MILLISECONDS);
@@ -262,6 +285,8 @@
         private boolean busy;
         private boolean pumping;
         private boolean peeking;
+        /** Whether anything came since the last look. */
+        private boolean more;
         private boolean keepAlive;
         private boolean old;
         /** When the connection last made progress: an answer was given or a byte of a request read. */
@@ -282,6 +307,7 @@
         /** Bytes came, whatever they are. */
         void heard() {
             long now = System.nanoTime();
+            more = true;
             startedAt = startedAt == 0 ? now : startedAt;
             if (quiet.remove(this)) {
                 quietAt = now;
@@ -294,9 +320,13 @@
         /** Whether it has said nothing, or not enough, for too long. */
         private boolean overdue(long now) {
             long silent = TimeUnit.NANOSECONDS.toMillis(now - quietAt);
+            if (busy) {
+                // Its answer is on the way, and it does not read it.
+                return silent > QUIET_MS || deaf && now > lastAnswerNanos;
+            }
             if (deaf) {
                 // Whoever still writes may get to the end of it, for a moment; who has stopped half way never will.
-                return startedAt == 0 || silent > HALF_WAY_MS || now > mostEndNanos;
+                return startedAt == 0 || silent > HALF_WAY_MS || now > lastReadNanos;
             }
             if (startedAt == 0) {
                 return silent > (standing.sendsAway() ? SENT_AWAY_MS : QUIET_MS);
@@ -449,6 +479,7 @@
             HttpRequest request = head;
             head = null;
             startedAt = 0;
+            hold(HEAD_BYTES);
             ahead.add(new Ahead(request, whole, proxy.now(), null));
             pump();
         }
@@ -466,24 +497,29 @@
             held += bytes;
         }
 
-        /** Reading stops while enough waits. Only a read shows that a client left: one is made at times. */
+        /**
+         * Reading stops while enough waits. Only a read shows that a client left: one is made at times. Once nothing
+         * more is taken of a client, all that it sends is read and dropped.
+         */
         private void readOn() {
             if (upload != null) {
                 return;
             }
+            lost |= deaf && startedAt == 0;
             boolean enough = busy && !lost && (ahead.size() >= MOST_AHEAD
                     || aheadBytes >= MOST_AHEAD_BYTES || held >= MOST_HELD);
-            channel.config().setAutoRead(!enough && (!deaf || startedAt != 0 || lost));
+            channel.config().setAutoRead(!enough);
             if (enough && !peeking) {
                 peeking = true;
-                loop.schedule(this::peek, PEEK_MS, TimeUnit.MILLISECONDS);
+                loop.schedule(this::peek, more ? PEEK_ON_MS : PEEK_MS, TimeUnit.MILLISECONDS);
+                more = false;
             }
         }
 
         private void peek() {
             peeking = false;
             if (channel.isActive()) {
-                if (aheadBytes < 2 * MOST_AHEAD_BYTES && held < MOST_HELD && upload == null) {
+                if (aheadBytes < MOST_PEEKED_BYTES && held < MOST_HELD && upload == null) {
                     channel.read();
                 }
                 readOn();
@@ -500,7 +536,7 @@
             pumping = true;
             while (!busy && !ahead.isEmpty() && channel.isActive()) {
                 Ahead next = ahead.poll();
-                hold(-next.body().length);
+                hold(next.head() == null ? 0 : -next.body().length - HEAD_BYTES);
                 handle(next, null);
             }
             pumping = false;
@@ -617,7 +653,8 @@
 
         /** In a crowd nobody keeps what others wait for: clients may hold only so many connections as well. */
         private boolean isLast() {
-            return !keepAlive || ahead.isEmpty() && (standing.sendsAway() || clients.size() > mostClients / 2);
+            return !keepAlive || ahead.isEmpty()
+                    && (standing.sendsAway() || clients.size() - parting.size() > mostClients / 2);
         }
 
         @Override
@@ -645,27 +682,38 @@
             boolean last = isLast() || cut;
             ByteBuf out = encode(status, what, retryAfterUs, lines, last);
             hush();
-            channel.writeAndFlush(out).addListener(written -> {
-                if (cut && written.isSuccess() && channel.isActive()) {
-                    ((SocketChannel) channel).shutdownOutput();
-                    channel.config().setAutoRead(true);
-                    loop.schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
-                } else {
-                    next(last || !written.isSuccess());
-                }
-            });
+            channel.writeAndFlush(out).addListener(written -> next(last || !written.isSuccess()));
         }
 
         /** The final answer is written: what was sent ahead has its turn. */
-        private void next(boolean close) {
-            if (close) {
-                channel.close();
+        private void next(boolean last) {
+            if (last) {
+                part();
             } else {
                 busy = false;
                 pump();
             }
         }
 
+        /**
+         * The one way in which a connection ends that owes its client nothing: our half is shut, and what still comes is
+         * read and dropped until the client has closed too. It may cross the shutdown: it is never sent on.
+         */
+        private void part() {
+            lost = true;
+            quiet.remove(this);
+            if (parting.add(this)) {
+                quietAt = System.nanoTime();
+                channel.config().setAutoRead(true);
+                ((SocketChannel) channel).shutdownOutput().addListener(shut -> {
+                    if (!shut.isSuccess()) {
+                        channel.close();
+                    }
+                });
+                acceptIfRoom(channel);
+            }
+        }
+
         /** One buffer and one write; what a host said of its type was checked when it was read. */
         private static ByteBuf encode(HttpResponseStatus status, Upstream.Answer what, long retryAfterUs,
                 String lines, boolean last) {
@@ -704,8 +752,10 @@
                 busy = true;
                 keepAlive = false;
                 answer(HttpResponseStatus.REQUEST_TIMEOUT);
-            } else {
+            } else if (busy) {
                 channel.close();
+            } else {
+                part();
             }
         }
 
@@ -714,13 +764,14 @@
             if (busy || startedAt != 0) {
                 readOn();
             } else {
-                channel.close();
+                part();
             }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             quiet.remove(this);
+            parting.remove(this);
             ahead.clear();
             held -= aheadBytes;
             aheadBytes = 0;
