A fleet that answers nothing is not taken for idle; busy hosts are passed by where there is no key

Logic.reportedByAll took silence for an idle fleet also where attempts went out and were lost; and spills compared a host with the others only, so that all were loaded past the point from which hosts slow down.

The last word of all fades only while nothing is sent, not while attempts are lost. A request with no key, which no owner is worth waiting for, passes by a host whose own queue takes half of its aim, all do at the whole. Keyed requests go as before.

Tests: whereAllIsLostAndNobodyReportsTheFleetIsNotTakenForIdle, aRequestWithNoKeyWaitsForNobodyWhoIsBusyThoughAllAreAlike, each failing without its part.

--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -101,6 +101,12 @@
      */
     private static final double SPILL_FROM = 0.3;
     private static final double SPILL_ALL = 1.5;
+    /**
+     * Part of the aim that an endpoint's queue may take before some requests with no key pass it by though all are as
+     * busy, and before all do: no owner is worth waiting for, and endpoints get slower by what they hold.
+     */
+    private static final double BUSY_FROM = 0.5;
+    private static final double BUSY_ALL = 1;
     /** Part of what all hold that is no reason to pass one by: the others are no better. */
     private static final double COMMON = 0.8;
     /**
@@ -571,8 +577,14 @@
      * together.
      */
     private boolean spills(Req r, Node n, long now) {
-        double aims = aims(r, queue(n, now) - COMMON * reportedByAll(now));
-        return aims > SPILL_FROM && draw(r, n) * (SPILL_ALL - SPILL_FROM) < aims - SPILL_FROM;
+        double queue = queue(n, now);
+        return beyond(r, n, queue - COMMON * reportedByAll(now), SPILL_FROM, SPILL_ALL)
+                || r.in.key() == null && beyond(r, n, queue, BUSY_FROM, BUSY_ALL);
+    }
+
+    private boolean beyond(Req r, Node n, double queue, double some, double all) {
+        double aims = aims(r, queue);
+        return aims > some && draw(r, n) * (all - some) < aims - some;
     }
 
     // ---- health --------------------------------------------------------------------------------------
@@ -1072,6 +1084,8 @@
         } else if ((o == Outcome.TIMED_OUT || o == Outcome.CANCELED && a.canceled)
                 && crowded(a, end.lagUs())) {
             // A loss tells of the endpoint only after an ordinary answer's time; else of the client.
+            // It brings no report: where all are lost none comes, and the last word of them all still holds.
+            reportedAt = now;
             learnLag(a, end.lagUs(), now, false);
         }
         if (n.trial == a) {
--- a/src/test/java/mulleinfront/ReportsTest.java
+++ b/src/test/java/mulleinfront/ReportsTest.java
@@ -87,6 +87,58 @@
                 "an old report must not close the door for good");
     }
 
+    @Test
+    void whereAllIsLostAndNobodyReportsTheFleetIsNotTakenForIdle() {
+        // Guards against a jam that keeps itself up: answers that come too late bring no reports, and the last word of
+        // a crowd faded as if it had gone. The work that was given up on stays in the endpoints' queues.
+        Rig rig = one(3, 6);
+        rig.serve(0, "key");
+        say(rig, 6, 6);
+        int sent = 0;
+        int of = 0;
+        for (int i = 0; i < 60; i++) {
+            String id = rig.request(0, "key" + i, 2_000_000);
+            rig.pass(100_000);
+            if (rig.at(id) != null) {
+                rig.pass(500_000);
+                if (rig.finals.get(id) == null) {
+                    rig.end(id, Outcome.TIMED_OUT, 600_000);
+                }
+            }
+            if (i >= 30) {
+                of++;
+                sent += rig.at(id) != null ? 1 : 0;
+            }
+        }
+        assertTrue(sent < of / 2, sent + " of " + of + " were sent into the jam");
+        for (int i = 0; i < 8; i++) {
+            say(rig, 6, 0);
+        }
+        assertTrue(rig.at(rig.request(0, "key", 2_000_000)) != null, "a good word opens again");
+    }
+
+    /** How many of 200 instances send a request with no key where all endpoints report to hold so many. */
+    private static int sentWhereAllHold(double held) {
+        int sent = 0;
+        for (int i = 0; i < 200; i++) {
+            Rig rig = one(i, 12);
+            rig.serve(0, "key");
+            for (int k = 0; k < 8; k++) {
+                say(rig, 12, held);
+            }
+            sent += rig.at(rig.request(1, null, 2_000_000)) != null ? 1 : 0;
+        }
+        return sent;
+    }
+
+    @Test
+    void aRequestWithNoKeyWaitsForNobodyWhoIsBusyThoughAllAreAlike() {
+        // The usual lag starts at a quarter of the aim: a queue of 2 takes half of it, one of 4 all.
+        assertEquals(200, sentWhereAllHold(1.9));
+        assertTrue(sentWhereAllHold(3) > 150, "one of twelve takes it");
+        assertEquals(0, sentWhereAllHold(4.1));
+    }
+
     @Test
     void nonsenseAndStrangersAreIgnored() {
         Rig rig = one(3, 3);
