SIGTERM before the end of a start loses nothing that was taken by then

Seen by reading Serve.serve: the shutdown hook was registered after the client proxy listened, after the operators' door was open and after it had joined its fleet. Ruled out: the rehearsal, in which nobody is taken, and which may end at once.

The hook is there first; a client proxy is named to it before anybody can connect to it. A start that fails has nothing to finish.

Tests: aRequestTakenBeforeTheStartIsDoneIsAnsweredThoughSigtermComesThen fails without it (the process had ended). aSecondSigtermAndASighupMeanwhileChangeNothing and sigtermDuringTheRehearsalEndsItAtOnceAndNobodyIsTaken hold what was so before.

--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -163,7 +163,7 @@
 
     /** Starts to serve; returns once it listens. */
     public static ClientProxy start(Config config) throws Exception {
-        return start(config, (ServerSocketChannel) null);
+        return start(config, null, begun -> { });
     }
 
     /**
@@ -171,22 +171,27 @@
      *
      * @param inherited the listening socket of the configuration's address, which others may have too: nothing is
      *        accepted on it before there is a list to serve by; null to listen there anew
+     * @param begun told of the client proxy before anybody can connect to it: from then on it may be drained
      */
-    public static ClientProxy start(Config config, ServerSocketChannel inherited) throws Exception {
+    public static ClientProxy start(Config config, ServerSocketChannel inherited, Consumer<ClientProxy> begun)
+            throws Exception {
         rehearse(config, inherited != null);
-        return start(config, Balancer::create, false, inherited);
+        return start(config, Balancer::create, false, inherited, begun);
     }
 
     /**
      * Starts one client proxy for each configuration, all on the address of the first, which share nothing but the
      * port: the system gives each new connection to one of them. Each counts as an instance to its module.
+     *
+     * @param begun as for one
      */
-    public static List<ClientProxy> startAll(List<Config> configs) throws Exception {
+    public static List<ClientProxy> startAll(List<Config> configs, Consumer<ClientProxy> begun) throws Exception {
         rehearse(configs.get(0), false);
         List<ClientProxy> all = new ArrayList<>();
         try {
             for (Config config : configs) {
-                all.add(start(all.isEmpty() ? config : config.on(all.get(0).port()), Balancer::create, true, null));
+                all.add(start(all.isEmpty() ? config : config.on(all.get(0).port()), Balancer::create, true, null,
+                        begun));
             }
             return all;
         } catch (Exception e) {
@@ -234,14 +239,15 @@
     }
 
     static ClientProxy start(Config config, Core.Maker maker) throws Exception {
-        return start(config, maker, false, null);
+        return start(config, maker, false, null, begun -> { });
     }
 
-    private static ClientProxy start(Config config, Core.Maker maker, boolean shared, ServerSocketChannel inherited)
-            throws Exception {
+    private static ClientProxy start(Config config, Core.Maker maker, boolean shared, ServerSocketChannel inherited,
+            Consumer<ClientProxy> begun) throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
             ClientProxy proxy = new ClientProxy(config, group);
+            begun.accept(proxy);
             proxy.loop.submit(() -> proxy.begin(maker, inherited)).get();
             if (inherited == null) {
                 proxy.bound(() -> proxy.frontend.listen(config.listen(), shared, null), config.listen());
--- a/src/main/java/mulleinfront/proxy/Serve.java
+++ b/src/main/java/mulleinfront/proxy/Serve.java
@@ -13,6 +13,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 import java.util.logging.Handler;
 import java.util.logging.LogManager;
 import java.util.logging.LogRecord;
@@ -49,16 +51,24 @@
         }
         FleetFile member = fleet == null ? null
                 : FleetFile.load(Path.of(fleet), Files.readAllBytes(Path.of(file)));
-        List<ClientProxy> proxies = machine == null ? List.of(ClientProxy.start(config, inherited))
-                : start(config, Machine.load(Path.of(machine)));
-        ClientProxy.operate(proxies);
-        if (member != null) {
-            proxies.get(0).join(member);
-        }
+        // Before anybody can connect: what is taken between the first connection and the end of the start counts too.
+        List<ClientProxy> begun = new CopyOnWriteArrayList<>();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            proxies.stream().map(ClientProxy::drain).toList().forEach(Future::awaitUninterruptibly);
+            begun.stream().map(ClientProxy::drain).toList().forEach(Future::awaitUninterruptibly);
         }));
-        started.complete(proxies);
+        try {
+            List<ClientProxy> proxies = machine == null ? List.of(ClientProxy.start(config, inherited, begun::add))
+                    : start(config, Machine.load(Path.of(machine)), begun::add);
+            ClientProxy.operate(proxies);
+            if (member != null) {
+                proxies.get(0).join(member);
+            }
+            started.complete(proxies);
+        } catch (Exception e) {
+            // There is nothing to finish: the process ends by what went wrong.
+            begun.clear();
+            throw e;
+        }
     }
 
     /**
@@ -80,8 +90,13 @@
 
     /** Starts the client proxies of a machine file; they listen on one port. */
     public static List<ClientProxy> start(Config config, Machine machine) throws Exception {
+        return start(config, machine, begun -> { });
+    }
+
+    private static List<ClientProxy> start(Config config, Machine machine, Consumer<ClientProxy> begun)
+            throws Exception {
         return ClientProxy.startAll(machine.split(config, Runtime.getRuntime().maxMemory(),
-                ClientProxy.OWN_SOCKETS, ClientProxy.LOOP_SOCKETS));
+                ClientProxy.OWN_SOCKETS, ClientProxy.LOOP_SOCKETS), begun);
     }
 
     /**
--- a/src/test/java/mulleinfront/proxy/RehearsalTest.java
+++ b/src/test/java/mulleinfront/proxy/RehearsalTest.java
@@ -65,7 +65,7 @@
             Config operated = Config.parse(config.replace("{\"name\":\"n0\"",
                     "{\"name\":\"n0\",\"management\":\"127.0.0.1:" + door + "\"")
                     .getBytes(StandardCharsets.UTF_8));
-            Future<ClientProxy> started = starter.submit(() -> ClientProxy.start(operated, held));
+            Future<ClientProxy> started = starter.submit(() -> ClientProxy.start(operated, held, begun -> { }));
             Socket silent = connect(door, started);
             assertNotNull(silent, "the rehearsal was over before anybody came");
             ClientProxy proxy = started.get(Peers.PATIENCE_S, TimeUnit.SECONDS);
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -14,6 +14,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -185,6 +187,87 @@
         }
     }
 
+    private void awaitLine(File errors, String line) throws Exception {
+        while (!Files.readString(errors.toPath()).contains(line)) {
+            assertTrue(process.isAlive(), "it ended before it said '" + line + "'");
+            Thread.sleep(5);
+        }
+    }
+
+    @Test
+    void aRequestTakenBeforeTheStartIsDoneIsAnsweredThoughSigtermComesThen() throws Exception {
+        // Guards rule 1: clients are served while the operators' door is still waited for.
+        BlockingQueue<Seen> out = new LinkedBlockingQueue<>();
+        Server host = host(out::add);
+        discovery = keep(new Discovery());
+        File errors = folder.resolve("errors").toFile();
+        int port = freePort();
+        try (ServerSocket door = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            launch(Peers.config(port, discovery.server.address(), "",
+                    Peers.list(1, true, Peers.host("s0", host.address(), "in_service")))
+                    .replace("{\"name\":\"n0\"", "{\"name\":\"n0\",\"management\":\"127.0.0.1:"
+                            + door.getLocalPort() + "\""), ProcessBuilder.Redirect.to(errors));
+            awaitLine(errors, "; trying on");
+            try (Client client = new Client(port)) {
+                client.unsafe("a", 20_000);
+                Seen open = Peers.next(out, "the request");
+                process.destroy();
+                awaitLine(errors, "told to end");
+                open.served("whole");
+                assertEquals("whole", client.read().text());
+            }
+            assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS));
+        }
+    }
+
+    @Test
+    void aSecondSigtermAndASighupMeanwhileChangeNothing() throws Exception {
+        BlockingQueue<Seen> out = new LinkedBlockingQueue<>();
+        Server host = host(out::add);
+        File errors = folder.resolve("errors").toFile();
+        discovery = keep(new Discovery());
+        int port = freePort();
+        launch(Peers.config(port, discovery.server.address(), "",
+                Peers.list(1, true, Peers.host("s0", host.address(), "in_service"))),
+                ProcessBuilder.Redirect.to(errors));
+        awaitReady(port);
+        try (Client client = new Client(port)) {
+            client.unsafe("a", 20_000);
+            Seen open = Peers.next(out, "the request");
+            hangUp();
+            process.destroy();
+            awaitLine(errors, "told to end");
+            hangUp();
+            process.destroy();
+            Thread.sleep(50);
+            open.served("whole");
+            assertEquals("whole", client.read().text());
+        }
+        assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(143, process.exitValue());
+    }
+
+    @Test
+    void sigtermDuringTheRehearsalEndsItAtOnceAndNobodyIsTaken() throws Exception {
+        discovery = keep(new Discovery());
+        File errors = folder.resolve("errors").toFile();
+        int port = freePort();
+        launch(Peers.config(port, discovery.server.address(), "", "null"), ProcessBuilder.Redirect.to(errors));
+        // The rehearsal answers on that port, and says that it is not ready.
+        int status = 0;
+        while (status == 0) {
+            try (Client client = new Client(port)) {
+                status = client.write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status();
+            } catch (IOException e) {
+                assertTrue(process.isAlive());
+            }
+        }
+        process.destroy();
+        assertEquals(503, status);
+        assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(143, process.exitValue());
+    }
+
     @Test
     void sighupMovesTheWatchAndABadFileChangesNothing() throws Exception {
         Server host = host(s -> s.served("x"));
@@ -323,10 +406,7 @@
             launch(Peers.config(port, discovery.server.address(), "",
                     Peers.list(1, true, Peers.host("s0", host.address(), "in_service"))),
                     ProcessBuilder.Redirect.to(errors));
-            while (!Files.readString(errors.toPath()).contains("; trying on")) {
-                assertTrue(process.isAlive());
-                Thread.sleep(5);
-            }
+            awaitLine(errors, "; trying on");
         }
         awaitReady(port);
     }
