What was taken before SIGTERM is answered before the process is killed, as what comes after it

Seen by a test: a request with a long deadline that is open when the process is told to end, held or at a host that hangs, had its answer only at its own deadline (20 s there). Ruled out: the module's own time-outs, which end most attempts at the aim, but not where a late answer earns something; streams that have begun, whose answer is given.

endBy brings the guards of what is open forward.

--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -67,6 +67,7 @@
         private final Q call;
         private long endAt;
         private Time.Timer guard;
+        private long guardAt;
         private Wire.Attempt out;
         private int outNumber;
         private int attempts;
@@ -194,10 +195,23 @@
     // ---- callers -------------------------------------------------------------------------------------
 
     /**
-     * No final answer of a request taken from now on is later than this, microseconds on the core's clock.
+     * No final answer is later than this, microseconds on the core's clock: of requests that are open, and of those
+     * taken from now on.
      */
     public void endBy(long at) {
         lastAt = at;
+        for (Exchange<Q, A> x : open.values()) {
+            if (!x.answered && x.guardAt > at) {
+                x.endAt = Math.min(x.endAt, at);
+                x.guard.cancel();
+                guard(x, at - time.now());
+            }
+        }
+    }
+
+    private void guard(Exchange<Q, A> x, long delayUs) {
+        x.guardAt = time.now() + delayUs;
+        x.guard = time.after(delayUs, () -> timeUp(x));
     }
 
     /** Whether a request of this id is open: its id may not be used again until that is over. */
@@ -257,7 +271,7 @@
         x.reading = reading;
         x.patience = patience;
         x.budget = budget;
-        x.guard = time.after(reading ? MOST_READING_US : Math.min(at + patience - time.now(), most), () -> timeUp(x));
+        guard(x, Math.min(reading ? MOST_READING_US : at + patience - time.now(), most));
         caller.opened(x);
         run(() -> balancer.onRequest(time.now(), x.request));
     }
@@ -272,7 +286,7 @@
         long left = Math.min(x.budget, most);
         x.endAt = time.now() + left;
         x.guard.cancel();
-        x.guard = time.after(Math.min(x.patience, most), () -> timeUp(x));
+        guard(x, Math.min(x.patience, most));
         if (x.out != null) {
             x.out.endWithin(x.outTimeout == 0 ? left : Math.min(left, x.outTimeout));
         }
--- a/src/test/java/mulleinfront/core/CoreTest.java
+++ b/src/test/java/mulleinfront/core/CoreTest.java
@@ -276,6 +276,36 @@
         nothingFollows();
     }
 
+    @Test
+    void anEndThatIsSetHoldsForWhatIsOpenToo() {
+        sent(UNSAFE);
+        time.runUntil(100 * MS);
+        core.endBy(time.now() + 300 * MS);
+        time.runUntil(400 * MS - 1);
+        said();
+        time.runUntil(400 * MS);
+        said("FAILED time up", "gone r", "cancelled r/0@h", "ended 0 CANCELED done");
+        nothingFollows();
+    }
+
+    @Test
+    void anEndThatIsSetHoldsForWhatIsStillBeingReadToo() {
+        takeReading(UNSAFE);
+        core.endBy(time.now() + 300 * MS);
+        time.runUntil(300 * MS);
+        said("FAILED time up", "gone r", "cancelled r/0@h", "ended 0 CANCELED done");
+        nothingFollows();
+    }
+
+    @Test
+    void anEndThatIsLaterThanTheClientsOwnChangesNothing() {
+        sent(UNSAFE);
+        core.endBy(time.now() + 3_000 * MS);
+        time.runUntil(975 * MS);
+        said("FAILED time up", "gone r", "cancelled r/0@h", "ended 0 CANCELED done");
+        nothingFollows();
+    }
+
     @Test
     void aRequestThatIsBeingReadGoesWithItsClient() {
         takeReading(UNSAFE);
--- a/src/test/java/mulleinfront/proxy/Peers.java
+++ b/src/test/java/mulleinfront/proxy/Peers.java
@@ -312,6 +312,15 @@
             }
         }
 
+        InputStream in() throws IOException {
+            last.setSoTimeout((int) Peers.PATIENCE_S * 1000);
+            return last.getInputStream();
+        }
+
+        void write(String text) throws IOException {
+            last.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
         boolean silent() throws Exception {
             last.setSoTimeout((int) Peers.PATIENCE_S * 1000);
             return last.getInputStream().read() < 0;
