A whole list older than what its watch has told already undoes no drain

Ruled out: changes, which go host by host, and the first list of a new watch or after a move.

A watch passes over a whole list that it has overtaken itself.

Tests: aWholeListThatIsOlderThanWhatTheWatchToldUndoesNoDrain fails without it. Two more hold crossings that were right before: a list that lacks a host with an attempt out, and the old watch's last word after a move.

--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -180,6 +180,8 @@
         private final long patienceMs;
         private Channel channel;
         private boolean heard;
+        /** The newest version that it told of. */
+        private long newest = -1;
 
         Watch(long patienceMs) {
             this.patienceMs = patienceMs;
@@ -212,7 +214,11 @@
                     ctx.pipeline().replace(ReadTimeoutHandler.class, null,
                             new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
                 }
-                take(listing, listing.full() ? Source.FULL : Source.DELTA);
+                // A whole list is the latest word of who sends it, but not one that it has overtaken itself.
+                if (!listing.full() || listing.version() >= newest) {
+                    newest = Math.max(newest, listing.version());
+                    take(listing, listing.full() ? Source.FULL : Source.DELTA);
+                }
             }
         }
 
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -5,7 +5,9 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import mulleinfront.proxy.Peers.Client;
@@ -133,6 +135,57 @@
         }
     }
 
+    @Test
+    void aWholeListThatIsOlderThanWhatTheWatchToldUndoesNoDrain() throws Exception {
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"), Peers.host("t", "127.0.0.1:1", "in_service"));
+        Seen watch = discovery.asked();
+        Discovery.push(watch, Peers.list(5, true, Peers.host("s", "127.0.0.1:1", "terminating"),
+                Peers.host("t", "127.0.0.1:1", "in_service")));
+        Discovery.push(watch, Peers.list(4, true, Peers.host("s", "127.0.0.1:1", "in_service")));
+        Discovery.push(watch, Peers.list(6, false, Peers.host("t", "127.0.0.1:1", "in_service")));
+        assertEquals("FULL [s 1 DRAINING, t 1 READY]", Peers.next(module.lists, "the newer"));
+        assertEquals("DELTA [t 1 READY]", Peers.next(module.lists, "what came after the older"));
+    }
+
+    @Test
+    void aWholeListThatLacksAHostLeavesWhatIsOutThereAndSendsNothingNew() throws Exception {
+        BlockingQueue<Seen> out = new LinkedBlockingQueue<>();
+        Server host = host(out::add);
+        start("", Peers.host("s", host.address(), "in_service"));
+        Seen watch = discovery.asked();
+        module.onRequest = r -> {
+            module.actions.send(r.id(), "s", 0);
+        };
+        module.onEnd = e -> {
+            if (!e.requestDone()) {
+                module.actions.refuse(e.requestId(), 0);
+            }
+        };
+        Client client = client().unsafe("id1", 20_000);
+        Seen open = Peers.next(out, "the request");
+        Discovery.push(watch, Peers.list(2, true));
+        assertEquals("FULL []", Peers.next(module.lists, "the list that names nobody"));
+        assertEquals(503, client().unsafe("id2", 20_000).read().status(), "nothing new goes there");
+        assertEquals(503, ready());
+        open.served("x");
+        assertEquals(200, client.read().status(), "what was out is served");
+        open.awaitEnd();
+        assertEquals(1, host.seen.size());
+    }
+
+    @Test
+    void theOldWatchsLastWordAfterAMoveIsNotHeard() throws Exception {
+        Discovery other = keep(new Discovery());
+        start("", Peers.host("s", "127.0.0.1:1", "in_service"));
+        Seen old = discovery.asked();
+        move(other.server.address());
+        Seen moved = other.asked();
+        Discovery.push(old, Peers.list(8, true, Peers.host("old", "127.0.0.1:1", "in_service")));
+        old.awaitEnd();
+        Discovery.push(moved, Peers.list(2, true, Peers.host("new", "127.0.0.1:1", "in_service")));
+        assertEquals("FULL [new 1 READY]", Peers.next(module.lists, "the new one's first, and nothing before"));
+    }
+
     @Test
     void aSilentWatchIsAFailedCall() throws Exception {
         start("", Peers.host("s", "127.0.0.1:1", "in_service"));
