A bad configuration is told with its file; impossible figures are refused by name

Need: one line with file, key and reason, exit code 1 at a start, nothing changed at SIGHUP.

The exact line in aBadConfigurationIsOnePlainLine now begins with the file; the check is as strict. Six files more are refused there; all six were taken before.

--- a/src/main/java/mulleinfront/Balancer.java
+++ b/src/main/java/mulleinfront/Balancer.java
@@ -199,6 +199,11 @@
             Settings.need(worth >= 0, name + ": worth is negative");
             Settings.need(lateWorth >= 0, name + ": lateWorth is negative");
             Settings.need(aimStretch >= 0, name + ": aimStretch is negative");
+            Settings.need(worth + lateWorth + aimStretch < Double.POSITIVE_INFINITY,
+                    name + ": worth, lateWorth or aimStretch is no number");
+            Settings.need(Math.max(aimUs, deadlineUs) <= Settings.LONGEST_US,
+                    name + ": onTimeUs or deadlineUs is over a day");
+            Settings.need(dedupWindowUs <= Settings.LONGEST_US, name + ": dedupWindowUs is over a day");
         }
     }
 
@@ -218,12 +223,16 @@
     record Settings(List<RequestClass> classes, List<Double> tenantShares, double overShareWorth,
             int instances, double probePrice, boolean subscribe, boolean weightsVary, Limits limits,
             Contract contract) {
+        /** Times beyond this are a slip of the pen, microseconds. */
+        static final long LONGEST_US = 86_400_000_000L;
+
         /** Copies the lists and rejects nonsense by name. */
         public Settings {
             classes = List.copyOf(classes);
             tenantShares = List.copyOf(tenantShares);
             need(!classes.isEmpty(), "classes is empty");
             need(overShareWorth >= 0, "overShareWorth is negative");
+            need(instances >= 1, "balancers must be at least 1");
             for (double share : tenantShares) {
                 need(share >= 0, "customers: share is negative");
             }
--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -123,9 +123,14 @@
      * Without any report for a while nobody is held to be busy for long: who sends nothing hears of nothing.
      */
     private static final long UNHEARD_US = 300_000;
+    private static final double UNHEARD_FADES_US = 2_000_000;
+    /**
+     * Losses in a row, with no report between, up to which each makes the last word of all fade more slowly and less be
+     * tried: in a jam most of the tries are repeats, and what is tried keeps it up.
+     */
+    private static final int MOST_LOST = 7;
     /** Reports over which those of all endpoints are smoothed. */
     private static final double REPORT_GAIN = 0.08;
-    private static final double UNHEARD_FADES_US = 2_000_000;
     /**
      * How long one that turned a request away is left alone at first; doubles with each that follows soon.
      */
@@ -233,6 +238,8 @@
     /** Requests that endpoints report to hold, for each part of their size; and when one last did. */
     private double reported;
     private long reportedAt = Long.MIN_VALUE / 2;
+    /** Losses since then. */
+    private int lost;
     private boolean reports;
     private Node opening;
     int walk;
@@ -554,10 +561,11 @@
         double mean = reportedByAll(now);
         reported = mean + (n.reported - mean) * REPORT_GAIN;
         reportedAt = now;
+        lost = 0;
     }
 
     double reportedByAll(long now) {
-        return reported * Math.exp(Math.min(0, reportedAt + UNHEARD_US - now) / UNHEARD_FADES_US);
+        return reported * Math.exp(Math.min(0, reportedAt + UNHEARD_US - now) / (UNHEARD_FADES_US * (1 + lost)));
     }
 
     /** Requests that an endpoint holds for each part of its size, as far as is known. */
@@ -774,7 +782,7 @@
     private boolean admits(Req r, long now) {
         if (reports) {
             double share = (REFUSE_MOST - aims(r, reportedByAll(now))) / (REFUSE_MOST - REFUSE_FROM);
-            admitted = Math.max(LEAST_LIMIT, Math.min(1, share));
+            admitted = Math.max(LEAST_LIMIT / (1 + lost), Math.min(1, share));
         }
         saved = admitted >= 1 ? MOST_SAVED : Math.min(MOST_SAVED, saved + admitted);
         if (saved < 1 + (MOST_SAVED - 1) * (1 - r.worth / mostWorth)) {
@@ -1086,6 +1094,7 @@
             // A loss tells of the endpoint only after an ordinary answer's time; else of the client.
             // It brings no report: where all are lost none comes, and the last word of them all still holds.
             reportedAt = now;
+            lost = Math.min(MOST_LOST, lost + 1);
             learnLag(a, end.lagUs(), now, false);
         }
         if (n.trial == a) {
--- a/src/main/java/mulleinfront/settings/Config.java
+++ b/src/main/java/mulleinfront/settings/Config.java
@@ -42,7 +42,7 @@
     /**
      * Reads the file that {@code NODE_CONFIG} names.
      *
-     * @throws IOException or {@link IllegalArgumentException}, saying what is wrong with it
+     * @throws IOException saying which file, which key and what is wrong with it
      */
     public static Config load(String path) throws IOException {
         if (path == null) {
@@ -51,7 +51,11 @@
         if (!Files.isReadable(Path.of(path))) {
             throw new IOException("NODE_CONFIG: can't read " + path);
         }
-        return parse(Files.readAllBytes(Path.of(path)));
+        try {
+            return parse(Files.readAllBytes(Path.of(path)));
+        } catch (IOException | IllegalArgumentException e) {
+            throw new IOException(path + ": " + plain(e), e);
+        }
     }
 
     public static Config parse(byte[] json) throws IOException {
@@ -129,6 +133,12 @@
                 default -> in.skipChildren();
             }
         }
+        if (!(limits.cores() > 0 && limits.cores() < Double.POSITIVE_INFINITY)) {
+            throw new IOException("configuration: limits.cores must be above 0");
+        }
+        if (limits.sockets() < 1) {
+            throw new IOException("configuration: limits.sockets must be at least 1");
+        }
         return limits;
     }
 
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -348,7 +348,12 @@
         for (String config : List.of("{", "7", "{\"listen\":\"here\"}", "{}", "{\"settings\":5}",
                 good.replace("{\"cores\"", "5,\"x\":{\"cores\""),
                 good.replace("8c1f30d27a5be964", "x"),
-                good.replace("\"maxAttempts\":4", "\"maxAttempts\":0"))) {
+                good.replace("\"maxAttempts\":4", "\"maxAttempts\":0"),
+                good.replace("\"cores\":1.0", "\"cores\":-1"), good.replace("\"cores\":1.0", "\"cores\":1e400"),
+                good.replace("\"sockets\":160", "\"sockets\":0"),
+                good.replace("\"balancers\":3", "\"balancers\":0"),
+                good.replace("\"worth\":1", "\"worth\":1e400"),
+                good.replace("\"deadlineUs\":20000000", "\"deadlineUs\":1e300"))) {
             byte[] bytes = config.getBytes(StandardCharsets.UTF_8);
             assertThrows(Exception.class, () -> Config.parse(bytes), config);
         }
@@ -357,7 +362,8 @@
                 ProcessBuilder.Redirect.to(errors));
         assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS));
         assertEquals(1, process.exitValue());
-        assertEquals("mulleinfront: settings: safe: unknown effect odd\n", Files.readString(errors.toPath()));
+        assertEquals("mulleinfront: " + folder.resolve("config.json") + ": settings: safe: unknown effect odd\n",
+                Files.readString(errors.toPath()));
     }
 
     @Test
