No class, tenant or zone of any site is named in the program; a test holds it

Need: the program is run for several customers. Seen: the emulator's drawn deployments (Drawn) called their classes as the operators' first site does. OwnNamesTest reads all of src/main and the deploy file for the names of the operators' two sites and of ours; it fails on Drawn as it was (and on no other file).

--- a/src/main/java/mulleinfront/emulator/Drawn.java
+++ b/src/main/java/mulleinfront/emulator/Drawn.java
@@ -28,7 +28,7 @@
     private static final String CLASSES = """
 
             [[class]]
-            name = "invoice-lookup"
+            name = "look"
             share = "41%"
             work = "87ms"
             effect = "safe"
@@ -37,7 +37,7 @@
             worth = 1
 
             [[class]]
-            name = "advance-payout"
+            name = "pay"
             share = "39%"
             work = "94ms"
             effect = "unsafe"
@@ -46,7 +46,7 @@
             worth = 8
 
             [[class]]
-            name = "invoice-submit"
+            name = "file"
             share = "20%"
             work = "131ms"
             effect = "keyed"
--- /dev/null
+++ b/src/test/java/mulleinfront/OwnNamesTest.java
@@ -0,0 +1,70 @@
+package mulleinfront;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The program is run for several customers: what is theirs comes from the settings alone. */
+class OwnNamesTest {
+    /** Classes, tenants, zones and kinds of the operators' sites, which are not in the repository. */
+    private static final List<String> THEIRS = List.of("ub-factoring", "invoice-lookup", "advance-payout",
+            "invoice-submit", "ulaanbaatar", "erdenet", "darkhan", "choibalsan", "dalanzadgad", "khovd", "murun",
+            "arvaikheer", "ulgii", "khan-uul", "bayanzurkh", "sukhbaatar", "new-2core", "old-2core", "factoring-api",
+            "liga-glowna", "sklad-odczyt", "zakup-kredyty", "serwery-gry", "warszawa", "poznan", "krakow", "duzy", "maly");
+    /** A name, or the zones of a site file. */
+    private static final Pattern NAMED = Pattern.compile("^(?:name|zones) = (.*)$", Pattern.MULTILINE);
+    /** Troubles have the bench's own names, which are words like any other. */
+    private static final Pattern TROUBLE = Pattern.compile("\\[\\[trouble\\]\\]\\nname = .*");
+    private static final Pattern QUOTED = Pattern.compile("\"([^\"]+)\"");
+
+    private static List<Path> files(String root, String ending) throws IOException {
+        try (Stream<Path> all = Files.walk(Path.of(root))) {
+            return all.filter(p -> p.toString().endsWith(ending)).sorted().toList();
+        }
+    }
+
+    private static Set<String> names() throws IOException {
+        Set<String> names = new TreeSet<>(THEIRS);
+        for (Path site : files("deploy/sites", ".toml")) {
+            Matcher named = NAMED.matcher(TROUBLE.matcher(Files.readString(site)).replaceAll(""));
+            while (named.find()) {
+                Matcher quoted = QUOTED.matcher(named.group(1));
+                while (quoted.find()) {
+                    names.add(quoted.group(1));
+                }
+            }
+        }
+        return names;
+    }
+
+    @Test
+    void noSitesNameStandsInTheProgramOrItsDeployFile() throws Exception {
+        Set<String> names = names();
+        assertTrue(names.containsAll(List.of("cotizar", "muelle-sur", "haku", "lappeenranta")), names.toString());
+        List<Path> program = new ArrayList<>(files("src/main", ""));
+        program.removeIf(Files::isDirectory);
+        program.add(Path.of("deploy/balancer.toml"));
+        assertTrue(program.size() > 100, "all of the program is read");
+        List<String> found = new ArrayList<>();
+        for (Path file : program) {
+            String text = Files.readString(file);
+            for (String name : names) {
+                if (Pattern.compile("(?<![\\w-])" + Pattern.quote(name) + "(?![\\w-])").matcher(text).find()) {
+                    found.add(file + ": " + name);
+                }
+            }
+        }
+        assertEquals(List.of(), found);
+    }
+}
