--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -102,8 +102,8 @@
     private static final double SPILL_FROM = 0.3;
     private static final double SPILL_ALL = 1.5;
     /**
-     * Part of the aim that an endpoint's queue may take before some requests with no key pass it by though all are as
-     * busy, and before all do: no owner is worth waiting for, and endpoints get slower by what they hold.
+     * Part of the aim that an endpoint's queue may take before some requests with no key pass it by though
+     * all are as busy, and before all do: no owner is worth waiting for, and what they hold slows them down.
      */
     private static final double BUSY_FROM = 0.5;
     private static final double BUSY_ALL = 1;
@@ -125,8 +125,8 @@
     private static final long UNHEARD_US = 300_000;
     private static final double UNHEARD_FADES_US = 2_000_000;
     /**
-     * Losses in a row, with no report between, up to which each makes the last word of all fade more slowly and less be
-     * tried: in a jam most of the tries are repeats, and what is tried keeps it up.
+     * Losses in a row, with no report between, up to which each makes the last word of all fade more slowly
+     * and less be tried: in a jam most of the tries are repeats, and what is tried keeps it up.
      */
     private static final int MOST_LOST = 7;
     /** Reports over which those of all endpoints are smoothed. */
@@ -565,7 +565,8 @@
     }
 
     double reportedByAll(long now) {
-        return reported * Math.exp(Math.min(0, reportedAt + UNHEARD_US - now) / (UNHEARD_FADES_US * (1 + lost)));
+        double unheard = Math.min(0, reportedAt + UNHEARD_US - now);
+        return reported * Math.exp(unheard / (UNHEARD_FADES_US * (1 + lost)));
     }
 
     /** Requests that an endpoint holds for each part of its size, as far as is known. */
