Tests ask for readiness in one place

OperatedTest and DiscoveryTest each had a ready() of their own, and DiscoveryTest the same line thrice; it stands in ProxyRig now. Assertions are as they were.

--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -22,7 +22,7 @@
     @Test
     void listsReplaceOrAmendAndABrokenWatchIsAFailedCall() throws Exception {
         start("", Peers.host("s", "127.0.0.1:1", "in_service"));
-        assertEquals(200, client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status());
+        assertEquals(200, ready());
         Seen watch = discovery.asked();
         String asked = watch.message().first();
         assertTrue(asked.startsWith("GET /api/targets?watch=1&after=1 "), asked);
@@ -31,7 +31,7 @@
         Discovery.push(watch, "");
         Discovery.push(watch, Peers.list(3, false, Peers.host("t", "127.0.0.1:2", "terminated")));
         assertEquals("DELTA [t 1 GONE]", Peers.next(module.lists, "a change"));
-        assertEquals(503, client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status());
+        assertEquals(503, ready());
         Discovery.push(watch, "{\"version\":4,\"servers\":[{\"id\":7");
         assertEquals("failed", Peers.next(module.lists, "the bad line's failure"));
         watch.awaitEnd();
@@ -69,10 +69,6 @@
                 });
     }
 
-    private int ready() throws Exception {
-        return client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status();
-    }
-
     @Test
     void wherePushedTheAgentsListGoesBeforeTheOneOfTheConfiguration() throws Exception {
         // Guards rule 3: what the agent has counts as told from the first moment, and the other list may be old.
@@ -270,7 +266,7 @@
         watch.awaitEnd();
         Seen moved = other.asked();
         assertTrue(moved.message().first().startsWith("GET /api/targets?watch=1 "), moved.message().first());
-        assertEquals(200, client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status(),
+        assertEquals(200, ready(),
                 "the old list holds");
         move(other.server.address());
         Discovery.push(moved, Peers.list(2, true, Peers.host("t", "127.0.0.1:1", "in_service")));
--- a/src/test/java/mulleinfront/proxy/OperatedTest.java
+++ b/src/test/java/mulleinfront/proxy/OperatedTest.java
@@ -49,12 +49,6 @@
         }
     }
 
-    private int ready() throws Exception {
-        try (Client client = client()) {
-            return client.write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status();
-        }
-    }
-
     @Test
     void healthIsYesAsSoonAsClientsAreTaken() throws Exception {
         start(null);
--- a/src/test/java/mulleinfront/proxy/ProxyRig.java
+++ b/src/test/java/mulleinfront/proxy/ProxyRig.java
@@ -115,6 +115,13 @@
         return keep(new Client(proxy.port()));
     }
 
+    /** What {@code /-/ready} says, on a connection of its own. */
+    int ready() throws Exception {
+        try (Client client = client()) {
+            return client.write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().status();
+        }
+    }
+
     <T extends AutoCloseable> T keep(T one) {
         open.add(one);
         return one;
