kit scale: a fleet of real and hollow client proxies on sockets, two sides, kills, restarts

Need: nothing could be played on sockets beyond 64 client proxies, since each was a process and each pair had an address of its own; the fleet is planned for 670.

Members know each other by an address for each of two sides (2 N sockets for N squared), so a relay can cut the sides and count what passes. Discovery's stand-in has an address and lists for each service's callers. Memory and processes are checked before the start. Processor, bytes, memory and the time until all real ones know are reported with the budgets, and as JSON; exit code 3 over a budget.

ClientProxy.start is split so that event loops can be shared; nothing else of serve changes.

--- a/src/main/java/mulleinfront/cli/CommandLine.java
+++ b/src/main/java/mulleinfront/cli/CommandLine.java
@@ -9,7 +9,8 @@
 import picocli.CommandLine.Spec;
 
 /** The words of the command line and what is common to them: exit codes, and errors in one line. */
-@Command(name = "mulleinfront", subcommands = {Emulate.class, Kit.class, Bench.class, FleetCommand.class},
+@Command(name = "mulleinfront", subcommands = {Emulate.class, Kit.class, Bench.class, FleetCommand.class,
+        HollowCommand.class},
         mixinStandardHelpOptions = true, versionProvider = CommandLine.Own.class,
         description = "A client proxy, and a world to rehearse it in.",
         footer = {"", "serve      a client proxy on sockets, as NODE_CONFIG says",
--- a/src/main/java/mulleinfront/cli/Kit.java
+++ b/src/main/java/mulleinfront/cli/Kit.java
@@ -32,7 +32,8 @@
 import picocli.CommandLine.Spec;
 
 /** {@code kit}: rehearsals on real sockets. */
-@Command(name = "kit", mixinStandardHelpOptions = true, subcommands = {Kit.Run.class, Kit.Suite.class, Kit.Show.class},
+@Command(name = "kit", mixinStandardHelpOptions = true, subcommands = {Kit.Run.class, Kit.Suite.class, Kit.Show.class,
+        ScaleCommand.class},
         description = "Rehearses on real sockets, on loopback, against client proxies that run as processes.")
 final class Kit implements Runnable {
     /** Kit and daemon are of different versions. */
@@ -75,7 +76,7 @@
             PrintWriter err = spec.commandLine().getErr();
             Path folder = report != null ? report.resolve(scenario.name())
                     : Files.createTempDirectory("rehearsal-" + scenario.name());
-            RealRun run = new RealRun(scenario, seed, command(), Path.of("").toAbsolutePath(), folder,
+            RealRun run = new RealRun(scenario, seed, command(daemon), Path.of("").toAbsolutePath(), folder,
                     line -> err.println(scenario.name() + ": " + line));
             if (anyVersion) {
                 run.anyVersion();
@@ -118,23 +119,29 @@
                 case TOO_BUSY -> TOO_BUSY;
             };
         }
+    }
 
-        private String command() throws BadFileException, IOException {
-            if (daemon != null) {
-                return daemon;
-            }
-            Path deploy = Path.of("deploy/balancer.toml");
-            if (Files.isReadable(deploy)) {
-                TomlParseResult file = Toml.parse(Files.readString(deploy));
-                if (file.hasErrors() || !file.isString("run")) {
-                    throw new BadFileException(deploy + ": no run line; --daemon CMD says what to start");
-                }
-                return file.getString("run");
+    /** The shell command that starts one client proxy: the one given, that of the deploy file here, or this program's. */
+    static String command(String daemon) throws BadFileException, IOException {
+        if (daemon != null) {
+            return daemon;
+        }
+        Path deploy = Path.of("deploy/balancer.toml");
+        if (Files.isReadable(deploy)) {
+            TomlParseResult file = Toml.parse(Files.readString(deploy));
+            if (file.hasErrors() || !file.isString("run")) {
+                throw new BadFileException(deploy + ": no run line; --daemon CMD says what to start");
             }
-            return "exec '" + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:+UseSerialGC"
-                    + " -XX:TieredStopAtLevel=1 -Xmx96m -cp '" + System.getProperty("java.class.path")
-                    + "' mulleinfront.Main serve";
+            return file.getString("run");
         }
+        return java("-Xmx96m") + " serve";
+    }
+
+    /** The shell command of this very program, with a bound on its heap. */
+    static String java(String heap) {
+        return "exec '" + Path.of(System.getProperty("java.home"), "bin", "java") + "' -XX:+UseSerialGC"
+                + " -XX:TieredStopAtLevel=1 " + heap + " -cp '" + System.getProperty("java.class.path")
+                + "' mulleinfront.Main";
     }
 
     /** One scenario. */
--- a/src/main/java/mulleinfront/kit/FleetTimeline.java
+++ b/src/main/java/mulleinfront/kit/FleetTimeline.java
@@ -108,7 +108,7 @@
         }
     }
 
-    private static Map<String, String> fields(String line) throws IOException {
+    static Map<String, String> fields(String line) throws IOException {
         Map<String, String> fields = new HashMap<>();
         try (JsonParser in = JSON.createParser(line)) {
             in.nextToken();
--- a/src/main/java/mulleinfront/kit/Places.java
+++ b/src/main/java/mulleinfront/kit/Places.java
@@ -29,7 +29,7 @@
         this.port = freePort();
     }
 
-    private static int freePort() throws IOException {
+    static int freePort() throws IOException {
         for (int i = 0; i < TRIES; i++) {
             int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
             try (ServerSocket probe = new ServerSocket()) {
--- a/src/main/java/mulleinfront/kit/RealRun.java
+++ b/src/main/java/mulleinfront/kit/RealRun.java
@@ -155,9 +155,14 @@
     }
 
     private static long availableKb() {
+        return memoryKb("MemAvailable:");
+    }
+
+    /** A figure of this machine's memory, kilobytes; the largest there is where it is not told. */
+    static long memoryKb(String field) {
         try {
             for (String line : Files.readAllLines(Path.of("/proc/meminfo"))) {
-                if (line.startsWith("MemAvailable:")) {
+                if (line.startsWith(field)) {
                     return Long.parseLong(line.replaceAll("[^0-9]", ""));
                 }
             }
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -242,26 +242,35 @@
         return start(config, maker, false, null, begun -> { });
     }
 
+    /** One of many in a process, on event loops that they share: {@link Hollow}. */
+    static ClientProxy hollow(Config config, EventLoopGroup shared) throws Exception {
+        return start(config, Balancer::create, false, null, begun -> { }, shared);
+    }
+
     private static ClientProxy start(Config config, Core.Maker maker, boolean shared, ServerSocketChannel inherited,
             Consumer<ClientProxy> begun) throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
-            ClientProxy proxy = new ClientProxy(config, group);
-            begun.accept(proxy);
-            proxy.loop.submit(() -> proxy.begin(maker, inherited)).get();
-            if (inherited == null) {
-                proxy.bound(() -> proxy.frontend.listen(config.listen(), shared, null), config.listen());
-                proxy.standing.listening();
-            }
-            System.err.println("mulleinfront: listening on "
-                    + NetUtil.toSocketAddressString(config.listen()));
-            return proxy;
+            return start(config, maker, shared, inherited, begun, group);
         } catch (Exception e) {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             throw e;
         }
     }
 
+    private static ClientProxy start(Config config, Core.Maker maker, boolean shared, ServerSocketChannel inherited,
+            Consumer<ClientProxy> begun, EventLoopGroup group) throws Exception {
+        ClientProxy proxy = new ClientProxy(config, group);
+        begun.accept(proxy);
+        proxy.loop.submit(() -> proxy.begin(maker, inherited)).get();
+        if (inherited == null) {
+            proxy.bound(() -> proxy.frontend.listen(config.listen(), shared, null), config.listen());
+            proxy.standing.listening();
+        }
+        System.err.println("mulleinfront: listening on " + NetUtil.toSocketAddressString(config.listen()));
+        return proxy;
+    }
+
     /**
      * Listens, also where the address is in use for another moment: at a restart by the process before, say. One that
      * ended because of it would be a crash.
@@ -315,6 +324,13 @@
         membership = Membership.join(loop, Upstream.BUFFERS, clock::now, config.seed(), file, core::living);
     }
 
+    /** Says to the fleet that it goes, if it is in one. */
+    void leaveFleet() {
+        if (membership != null) {
+            loop.execute(membership::leave);
+        }
+    }
+
     /** Only where somebody may ask: nothing of it is loaded elsewhere. */
     private void countRefusals() {
         refusals = new Refusals(config.settings().classes());
@@ -420,9 +436,7 @@
     /** Serves to the end what clients have sent or are about to; the future is done when all has ended. */
     public Future<?> drain() {
         System.err.println("mulleinfront: told to end; finishing what is open");
-        if (membership != null) {
-            loop.execute(membership::leave);
-        }
+        leaveFleet();
         loop.execute(() -> frontend.drain(() -> {
             discovery.stop();
             if (management != null) {
