--- a/src/main/java/mulleinfront/config/Ledger.java
+++ b/src/main/java/mulleinfront/config/Ledger.java
@@ -23,6 +23,14 @@
     /** Tells of each newly decided version in order, each once, after it is durable here. */
     void listen(Consumer<Version> decided);
 
+    /**
+     * Whether this machine has heard of a majority lately, so that what it takes for the newest is no older than that.
+     * Readers of one that has not look for another.
+     */
+    default boolean inTouch() {
+        return true;
+    }
+
     /**
      * What became of a proposal.
      *
