Keepers: three machines decide the newest version by Raft, durably

Need: who is the newest version of the fleet's configuration has to be one truth of three machines, any of which may be gone (the Ledger of mulleinfront.config). No consensus protocol of our own is to be written.

Change: new package mulleinfront.keep.

Nothing starts it yet: run, serve and sim load none of it, LayersTest holds that.

--- /dev/null
+++ b/src/main/java/mulleinfront/keep/Keeper.java
@@ -0,0 +1,488 @@
+package mulleinfront.keep;
+
+import io.microraft.RaftConfig;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.model.persistence.RaftEndpointPersistentState;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import io.microraft.statemachine.StateMachine;
+import io.microraft.transport.Transport;
+import java.io.IOException;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import mulleinfront.config.Ledger;
+import mulleinfront.config.Proposal;
+import mulleinfront.config.Version;
+
+/**
+ * One keeper's part in the consensus, without sockets, files, threads or a clock of its own: those are handed
+ * to it, so that the same code runs on an event loop and on virtual time.
+ *
+ * <p>The library counts heartbeats in whole seconds. Its clock and timers here run {@value #PACE} times as
+ * fast as real ones: a leader is heard every quarter of a second, and given up after one without.
+ */
+final class Keeper implements Ledger {
+    /** How many of the library's seconds pass in one. */
+    static final int PACE = 4;
+    /** After how long a proposal is given up as {@link Ledger.What#UNKNOWN}, nanoseconds. */
+    static final long PROPOSAL_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** Until a proposal that found no leader is tried again, nanoseconds. */
+    private static final long AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    /** Proposals that wait for an answer here at most. */
+    private static final int MOST_OPEN = 64;
+    /** Entries after which the library makes a snapshot and drops the log before it. */
+    static final int SNAPSHOT_ENTRIES = 64;
+
+    private static final RaftConfig CONFIG = RaftConfig.newBuilder()
+            .setLeaderHeartbeatPeriodSecs(1)
+            .setLeaderHeartbeatTimeoutSecs(PACE)
+            .setLeaderElectionTimeoutMillis(300 * PACE)
+            .setAppendEntriesRequestBatchSize(8)
+            .setCommitCountToTakeSnapshot(SNAPSHOT_ENTRIES)
+            .setMaxPendingLogEntryCount(64)
+            // A register's parts are the same everywhere only at the same entry; the leader alone sends them.
+            .setTransferSnapshotsFromFollowersEnabled(false)
+            .setRaftNodeReportPublishPeriodSecs(3600)
+            .build();
+
+    private final String name;
+    private final Timers timers;
+    private final KeepLog log;
+    private final Peers peers;
+    private final RaftNode node;
+    private final List<Consumer<Version>> listeners = new ArrayList<>();
+    /** What the library has applied so far; at a start it begins at the snapshot again. */
+    private Register applied = new Register();
+    /** What was decided before the start, until the library has come as far again; then null. */
+    private Register before;
+    /** The newest version that is decided and durable here: what owners and listeners know. */
+    private Version newest = Version.NONE;
+    private int open;
+    private String fault;
+    private boolean started;
+    /** Whether the library's tasks run at once, so that its end is over when it returns. */
+    private boolean closing;
+
+    /**
+     * @param keepers names of all keepers, this one among them
+     * @param random decides whose election comes first
+     * @throws IOException one line, if what was restored can't be read
+     */
+    Keeper(String name, Collection<String> keepers, Timers timers, Random random, KeepLog log, Peers peers)
+            throws IOException {
+        this.name = name;
+        this.timers = timers;
+        this.log = log;
+        this.peers = peers;
+        RestoredRaftState restored = log.restored();
+        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(Codec.GROUP);
+        if (restored == null) {
+            List<RaftEndpoint> members = new ArrayList<>();
+            keepers.forEach(k -> members.add(new Member(k)));
+            builder.setLocalEndpoint(new Member(name)).setInitialGroupMembers(members);
+        } else {
+            try {
+                before = decidedBefore(restored, log.committed());
+            } catch (IllegalArgumentException e) {
+                throw new IOException("keeper " + name + ": its snapshot can't be read: " + e.getMessage(),
+                        e);
+            }
+            newest = before.newest();
+            builder.setRestoredState(restored);
+        }
+        node = builder.setConfig(CONFIG).setExecutor(new Paced()).setClock(new PacedClock()).setRandom(random)
+                .setTransport(new Sending()).setStateMachine(new Applying()).setStore(new Guarded()).build();
+    }
+
+    /** The register as it was when this keeper last told its owner of a decision. */
+    private static Register decidedBefore(RestoredRaftState restored, long committed) {
+        Register register = new Register();
+        SnapshotEntry snapshot = restored.getSnapshotEntry();
+        if (snapshot != null) {
+            List<byte[]> parts = new ArrayList<>();
+            for (Object chunk : (List<?>) snapshot.getOperation()) {
+                parts.add(((Operation.Part) ((SnapshotChunk) chunk).getOperation()).bytes());
+            }
+            register = Register.load(parts);
+        }
+        for (LogEntry entry : restored.getLogEntries()) {
+            if (entry.getIndex() <= committed && entry.getOperation() instanceof Operation.Change c) {
+                register.apply(c.proposal());
+            }
+        }
+        return register;
+    }
+
+    void start() {
+        started = true;
+        node.start().whenComplete((ok, failure) -> {
+            if (failure != null) {
+                stop("could not start: " + failure.getMessage());
+            }
+        });
+    }
+
+    /** Takes part no longer; messages that come are dropped. When this returns the log is needed no more. */
+    void close() {
+        if (fault == null) {
+            fault = "closed";
+        }
+        closing = true;
+        node.terminate();
+    }
+
+    /** Stops for good: nothing more is said from here on. */
+    void stop(String why) {
+        if (fault == null) {
+            fault = why;
+            timers.execute(node::terminate);
+        }
+    }
+
+    /** A message from another keeper. */
+    void handle(RaftMessage message) {
+        if (started && fault == null) {
+            node.handle(message);
+        }
+    }
+
+    KeepStatus status() {
+        String leader = leader();
+        KeepStatus.Role role = fault != null ? KeepStatus.Role.STOPPED
+                : leader == null ? KeepStatus.Role.SEEKING
+                : leader.equals(name) ? KeepStatus.Role.LEADER : KeepStatus.Role.FOLLOWER;
+        return new KeepStatus(name, role, node.getTerm().getTerm(), leader, newest().number(), fault);
+    }
+
+    private String leader() {
+        RaftEndpoint leader = fault == null ? node.getTerm().getLeaderEndpoint() : null;
+        return leader == null ? null : (String) leader.getId();
+    }
+
+    // ---- the ledger
+
+    /** The register that knows more: after a start the library begins again behind what was told before. */
+    private Register register() {
+        if (before != null && applied.newest().number() >= before.newest().number()) {
+            before = null;
+        }
+        return before != null ? before : applied;
+    }
+
+    @Override
+    public Version newest() {
+        return newest;
+    }
+
+    @Override
+    public Version at(long number) {
+        return number > newest.number() ? null : register().at(number);
+    }
+
+    @Override
+    public void listen(Consumer<Version> decided) {
+        listeners.add(decided);
+    }
+
+    @Override
+    public void propose(Proposal asked, Consumer<Answer> answer) {
+        Proposal proposal;
+        String wrong = Register.check(asked);
+        if (wrong != null) {
+            timers.execute(() -> answer.accept(new Answer(What.REFUSED, newest().number(), wrong)));
+            return;
+        }
+        // As the others will read it: this keeper must not apply anything else than they do.
+        proposal = Codec.proposal(Codec.proposal(asked));
+        if (open >= MOST_OPEN) {
+            timers.execute(() -> answer.accept(unknown("too many proposals wait")));
+            return;
+        }
+        new Attempts(proposal, answer).begin();
+    }
+
+    /**
+     * Decides on what another keeper sent on; if this one doesn't lead, it says who does and no more.
+     *
+     * @param answer called once
+     */
+    void proposeHere(Proposal proposal, Consumer<Answer> answer) {
+        String wrong = Register.check(proposal);
+        if (wrong != null) {
+            answer.accept(new Answer(What.REFUSED, newest().number(), wrong));
+        } else if (!name.equals(leader())) {
+            answer.accept(unknown("keeper " + name + " doesn't lead, " + leader() + " may"));
+        } else {
+            replicate(proposal, result -> answer.accept(result != null ? result
+                    : unknown("the leader changed")));
+        }
+    }
+
+    private Answer unknown(String why) {
+        return new Answer(What.UNKNOWN, newest().number(), why);
+    }
+
+    /** @param result called once, or never: what was decided, or null if that isn't known */
+    private void replicate(Proposal proposal, Consumer<Answer> result) {
+        node.<Answer>replicate(new Operation.Change(proposal)).whenComplete((done, failure) ->
+                result.accept(failure == null && fault == null ? done.getResult() : null));
+    }
+
+    /**
+     * One proposal until its one answer: again under its id, wherever a leader is, until its time is over.
+     */
+    private final class Attempts {
+        private final Proposal proposal;
+        private final Consumer<Answer> answer;
+        private boolean answered;
+
+        Attempts(Proposal proposal, Consumer<Answer> answer) {
+            this.proposal = proposal;
+            this.answer = answer;
+        }
+
+        void begin() {
+            open++;
+            long seconds = TimeUnit.NANOSECONDS.toSeconds(PROPOSAL_NANOS);
+            timers.schedule(() -> finish(unknown("not decided within " + seconds + " s: " + hindrance())),
+                    PROPOSAL_NANOS);
+            attempt();
+        }
+
+        private String hindrance() {
+            return fault != null ? fault : leader() == null ? "no leader is known" : "leader " + leader()
+                    + " has no majority or doesn't answer";
+        }
+
+        private void attempt() {
+            if (answered) {
+                return;
+            }
+            String leader = leader();
+            if (fault != null) {
+                finish(unknown(fault));
+            } else if (leader == null) {
+                again(null);
+            } else if (leader.equals(name)) {
+                replicate(proposal, this::again);
+            } else {
+                peers.propose(leader, proposal, this::again);
+            }
+        }
+
+        private void again(Answer result) {
+            if (result != null && result.what() != What.UNKNOWN) {
+                finish(result);
+            } else if (!answered) {
+                timers.schedule(this::attempt, AGAIN_NANOS);
+            }
+        }
+
+        private void finish(Answer last) {
+            if (!answered) {
+                answered = true;
+                open--;
+                timers.execute(() -> answer.accept(last));
+            }
+        }
+    }
+
+    /** Tells of what is new, after it is durable here. */
+    private void decided(long index) {
+        if (applied.newest().number() <= newest.number()) {
+            return;
+        }
+        try {
+            log.persistAndFlushCommitted(index);
+        } catch (IOException e) {
+            // The library would go on to the next entry: what isn't durable must not be told, here or there.
+            stop(e.getMessage());
+            return;
+        }
+        for (Version version : applied.after(newest.number())) {
+            newest = version;
+            for (Consumer<Version> listener : listeners) {
+                timers.execute(() -> listener.accept(version));
+            }
+        }
+    }
+
+    // ---- what the library asks for
+
+    private final class Applying implements StateMachine {
+        @Override
+        public Object runOperation(long index, Object operation) {
+            if (!(operation instanceof Operation.Change change)) {
+                return null;
+            }
+            Answer answer = applied.apply(change.proposal());
+            decided(index);
+            return answer;
+        }
+
+        @Override
+        public void takeSnapshot(long index, Consumer<Object> parts) {
+            applied.save().forEach(part -> parts.accept(new Operation.Part(part)));
+        }
+
+        @Override
+        public void installSnapshot(long index, List<Object> parts) {
+            List<byte[]> bytes = new ArrayList<>();
+            parts.forEach(p -> bytes.add(((Operation.Part) p).bytes()));
+            try {
+                applied = Register.load(bytes);
+            } catch (IllegalArgumentException e) {
+                stop("the snapshot at entry " + index + " can't be read: " + e.getMessage());
+                throw e;
+            }
+            decided(index);
+        }
+
+        @Override
+        public Object getNewTermOperation() {
+            return new Operation.TermStart();
+        }
+    }
+
+    /** The log, with the end of this keeper's part at its first error: the library would go on. */
+    private final class Guarded implements RaftStore {
+        private interface Write {
+            void run() throws IOException;
+        }
+
+        private void guard(Write write) throws IOException {
+            if (fault != null) {
+                // Nothing is said any more, so nothing has to be durable.
+                return;
+            }
+            try {
+                write.run();
+            } catch (IOException e) {
+                stop(e.getMessage());
+                throw e;
+            }
+        }
+
+        @Override
+        public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState endpoint) throws IOException {
+            guard(() -> log.persistAndFlushLocalEndpoint(endpoint));
+        }
+
+        @Override
+        public void persistAndFlushInitialGroupMembers(RaftGroupMembersView members) throws IOException {
+            guard(() -> log.persistAndFlushInitialGroupMembers(members));
+        }
+
+        @Override
+        public void persistAndFlushTerm(RaftTermPersistentState term) throws IOException {
+            guard(() -> log.persistAndFlushTerm(term));
+        }
+
+        @Override
+        public void persistLogEntries(List<LogEntry> entries) throws IOException {
+            guard(() -> log.persistLogEntries(entries));
+        }
+
+        @Override
+        public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
+            guard(() -> log.persistSnapshotChunk(chunk));
+        }
+
+        @Override
+        public void truncateLogEntriesFrom(long index) throws IOException {
+            guard(() -> log.truncateLogEntriesFrom(index));
+        }
+
+        @Override
+        public void truncateLogEntriesUntil(long index) throws IOException {
+            guard(() -> log.truncateLogEntriesUntil(index));
+        }
+
+        @Override
+        public void deleteSnapshotChunks(long index, int count) throws IOException {
+            guard(() -> log.deleteSnapshotChunks(index, count));
+        }
+
+        @Override
+        public void flush() throws IOException {
+            guard(log::flush);
+        }
+    }
+
+    private final class Sending implements Transport {
+        @Override
+        public void send(RaftEndpoint target, RaftMessage message) {
+            if (fault == null) {
+                peers.send((String) target.getId(), message);
+            }
+        }
+
+        @Override
+        public boolean isReachable(RaftEndpoint endpoint) {
+            return fault == null && peers.reachable((String) endpoint.getId());
+        }
+    }
+
+    private final class Paced implements RaftNodeExecutor {
+        @Override
+        public void execute(Runnable task) {
+            if (closing) {
+                task.run();
+            } else {
+                timers.execute(task);
+            }
+        }
+
+        @Override
+        public void submit(Runnable task) {
+            timers.execute(task);
+        }
+
+        @Override
+        public void schedule(Runnable task, long delay, TimeUnit unit) {
+            timers.schedule(task, unit.toNanos(delay) / PACE);
+        }
+    }
+
+    private final class PacedClock extends Clock {
+        /** Far from 0, which the library takes for "never heard". */
+        private static final long BASE_MILLIS = 1_000_000_000L;
+        private final long begin = timers.nanoTime();
+
+        @Override
+        public long millis() {
+            return BASE_MILLIS + TimeUnit.NANOSECONDS.toMillis((timers.nanoTime() - begin) * PACE);
+        }
+
+        @Override
+        public Instant instant() {
+            return Instant.ofEpochMilli(millis());
+        }
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId zone) {
+            return this;
+        }
+    }
+}
--- a/src/test/java/mulleinfront/LayersTest.java
+++ b/src/test/java/mulleinfront/LayersTest.java
@@ -121,6 +121,20 @@
                 .dependOnClassesThat().resideInAPackage("mulleinfront.kit..").check(MAIN);
     }
 
+    @Test
+    void onlyTheKeepersKnowTheConsensusLibraryAndOnlyTheCommandLineThem() {
+        only("mulleinfront.keep", "mulleinfront.keep", "mulleinfront.config", "java..", "io.microraft..",
+                "io.netty..", "org.h2.mvstore..").check(MAIN);
+        noClasses().that().resideOutsideOfPackage("mulleinfront.keep").should().dependOnClassesThat()
+                .resideInAnyPackage("io.microraft..", "org.h2..").check(MAIN);
+        noClasses().that().resideOutsideOfPackages("mulleinfront.keep", "mulleinfront.cli..").should()
+                .dependOnClassesThat().resideInAPackage("mulleinfront.keep").check(MAIN);
+        // The state machine is without I/O: what it keeps is written and read by the codec alone.
+        noClasses().that().haveSimpleName("Register").should().dependOnClassesThat(
+                JavaClass.Predicates.resideInAnyPackage("java.io..", "java.nio..", "java.net..", "java.time..",
+                        "java.util.concurrent..", "io.netty..", "io.microraft..", "org.h2..")).check(MAIN);
+    }
+
     @Test
     void theseChecksCanFail() {
         // The socket wire does what the core may not: the same rules on it must find that.
