--- a/src/main/java/mulleinfront/config/Handout.java
+++ b/src/main/java/mulleinfront/config/Handout.java
@@ -94,12 +94,15 @@
     private byte[] heartbeat;
     private long heartbeatOf = -1;
     private boolean heartbeatInTouch;
+    /** Asked for once a tick, and not for each reader. */
+    private boolean inTouch;
     private boolean ticking;
 
     public Handout(HandoutSettings settings, Ledger ledger, Wire wire) {
         this.settings = settings;
         this.ledger = ledger;
         this.wire = wire;
+        this.inTouch = ledger.inTouch();
     }
 
     /**
@@ -120,6 +123,9 @@
             return false;
         }
         Reader reader = new Reader(id, name, now);
+        if (readers.isEmpty()) {
+            inTouch = ledger.inTouch();
+        }
         reader.allowance = settings.burst();
         reader.at = has;
         reader.same = isOurs(has, checksum);
@@ -186,6 +192,7 @@
     /** What was asked for by {@link Wire#wakeAt}. */
     public void onTimer(long now) {
         ticking = false;
+        inTouch = ledger.inTouch();
         for (Reader reader : List.copyOf(readers.values())) {
             if (now - reader.heardUs > settings.silentUs()) {
                 drop(reader, "silent");
@@ -249,9 +256,9 @@
 
     private byte[] heartbeat() {
         long newest = ledger.newest().number();
-        if (heartbeat == null || heartbeatOf != newest || heartbeatInTouch != ledger.inTouch()) {
+        if (heartbeat == null || heartbeatOf != newest || heartbeatInTouch != inTouch) {
             heartbeatOf = newest;
-            heartbeatInTouch = ledger.inTouch();
+            heartbeatInTouch = inTouch;
             heartbeat = wire.heartbeat(newest, heartbeatInTouch);
         }
         return heartbeat;
--- a/src/main/java/mulleinfront/keep/KeeperNode.java
+++ b/src/main/java/mulleinfront/keep/KeeperNode.java
@@ -108,6 +108,13 @@
         keeper.propose(proposal, answer);
     }
 
+    /** It leads, or has heard its leader within the time after which one is given up. */
+    @Override
+    public boolean inTouch() {
+        KeepStatus.Role role = status().role();
+        return role == KeepStatus.Role.LEADER || role == KeepStatus.Role.FOLLOWER;
+    }
+
     @Override
     public void listen(Consumer<Version> decided) {
         keeper.listen(decided);
--- a/src/test/java/mulleinfront/config/HandoutWorld.java
+++ b/src/test/java/mulleinfront/config/HandoutWorld.java
@@ -23,6 +23,9 @@
  * and after the leader's end nobody does for the time of an election.
  */
 final class HandoutWorld {
+    /** Client proxies that do what they must not, to see that it is found. */
+    enum Broken { NONE, TAKES_PARTS, GOES_BACK, SAYS_WHAT_IT_HAS_NOT }
+
     static final int MACHINES = 3;
     static final int ZONES = 10;
     private static final long S = 1_000_000;
@@ -38,6 +41,10 @@
     final List<Long> proposedUs = new ArrayList<>();
     final HandoutSettings settings;
     boolean regionsApart;
+    Broken broken = Broken.NONE;
+    /** Lines of differences that were written for readers, each for all who stand at one place. */
+    int written;
+    int wholes;
     int leader;
     private boolean electing;
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
@@ -47,8 +54,8 @@
     /** Bytes that a proxy read, in windows of a second, the worst of all. */
     long worstSecond;
     long bytes;
-    /** Times from proposed to in force, of those that count. */
-    final List<Long> times = new ArrayList<>();
+    /** What was seen that must not be. */
+    final List<String> faults = new ArrayList<>();
 
     HandoutWorld(long seed, int count) {
         this(seed, count, HandoutSettings.USUAL);
@@ -248,6 +255,8 @@
 
         @Override
         public byte[] line(Difference difference) {
+            written++;
+            wholes += difference.isWhole() ? 1 : 0;
             return DifferenceLine.write(difference);
         }
 
@@ -485,6 +494,9 @@
                     if (all[all.length - 1] == '\n') {
                         partial = new byte[0];
                         lines(c, all);
+                    } else if (broken == Broken.SAYS_WHAT_IT_HAS_NOT) {
+                        long newest = c.machine.newest;
+                        report(newest, Checksum.of(decided.get((int) newest)));
                     }
                 }
             });
@@ -506,20 +518,38 @@
                 String text = new String(line, StandardCharsets.UTF_8);
                 if (text.startsWith("{\"newest\":")) {
                     int comma = text.indexOf(',');
-                    follower.heartbeat(time.now(), Long.parseLong(text.substring(10, comma)), text.contains("true"));
+                    long newest = Long.parseLong(text.substring(10, comma));
+                    if (broken == Broken.GOES_BACK && newest < follower.inForce().number()) {
+                        inForce(decided.get((int) newest));
+                    }
+                    follower.heartbeat(time.now(), newest, text.contains("true"));
                 } else {
                     Difference d = parsed.get(text);
                     if (d == null) {
                         d = DifferenceLine.read(line);
                         parsed.put(text, d);
                     }
-                    follower.difference(time.now(), d);
+                    follower.difference(time.now(), broken == Broken.TAKES_PARTS ? part(d) : d);
                 }
             } catch (IOException e) {
                 throw new AssertionError("a line that nobody wrote", e);
             }
         }
 
+        /** What has come of a difference so far, as if it were all. */
+        private Difference part(Difference d) throws IOException {
+            TreeMap<String, String> half = new TreeMap<>(d.changed());
+            while (half.size() > d.changed().size() / 2) {
+                half.pollLastEntry();
+            }
+            Difference part = new Difference(d.from(), d.to(), half, d.removed(), d.why(), d.decidedAtMillis(), 0);
+            TreeMap<String, String> entries = new TreeMap<>(d.isWhole() ? Map.of() : follower.inForce().entries());
+            entries.keySet().removeAll(part.removed());
+            entries.putAll(half);
+            return new Difference(d.from(), d.to(), half, d.removed(), d.why(), d.decidedAtMillis(),
+                    Checksum.of(new Version(d.to(), entries, d.why(), d.decidedAtMillis())));
+        }
+
         @Override
         public void inForce(Version version) {
             kept = version;
@@ -530,6 +560,10 @@
         @Override
         public void report(long number, long checksum) {
             Connection c = connection;
+            long has = history.isEmpty() ? 0 : history.get(history.size() - 1);
+            if (number != has) {
+                faults.add("client proxy " + this.number + " says version " + number + " and has " + has);
+            }
             if (c != null) {
                 c.up(() -> c.machine.handout.reported(time.now(), c.id, number, checksum));
             }
@@ -569,7 +603,7 @@
         time.runUntil(time.now() + us);
     }
 
-    /** Nobody ever went back, and who says a version has that very version. */
+    /** Nobody ever went back or said what it has not, and who says a version has that very version. */
     void check() {
         for (Proxy p : proxies) {
             for (int i = 1; i < p.history.size(); i++) {
@@ -584,6 +618,9 @@
                 }
             }
         }
+        if (!faults.isEmpty()) {
+            throw new AssertionError(faults.get(0));
+        }
     }
 
     /** Times from proposed to in force of one version at all that live. */
