--- a/src/main/java/mulleinfront/cli/CommandLine.java
+++ b/src/main/java/mulleinfront/cli/CommandLine.java
@@ -9,7 +9,8 @@
 import picocli.CommandLine.Spec;
 
 /** The words of the command line and what is common to them: exit codes, and errors in one line. */
-@Command(name = "mulleinfront", subcommands = {Emulate.class, Kit.class, Bench.class, FleetCommand.class},
+@Command(name = "mulleinfront", subcommands = {Emulate.class, Kit.class, Bench.class, FleetCommand.class,
+    KeepCommand.class, ConfigCommand.class},
         mixinStandardHelpOptions = true, versionProvider = CommandLine.Own.class,
         description = "A client proxy, and a world to rehearse it in.",
         footer = {"", "serve      a client proxy on sockets, as NODE_CONFIG says",
@@ -37,7 +38,8 @@
 
     @Override
     public void run() {
-        throw new ParameterException(spec.commandLine(), "a word is missing: emulate, kit, bench, fleet, serve or benchlink");
+        throw new ParameterException(spec.commandLine(), "a word is missing: emulate, kit, bench,"
+                + " fleet, keep, config, serve or benchlink");
     }
 
     /** Runs a command line; gives the exit code. */
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -22,6 +22,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -38,11 +39,14 @@
 import mulleinfront.core.Standing;
 import mulleinfront.core.Time;
 import mulleinfront.core.Wire;
+import mulleinfront.follow.Following;
 import mulleinfront.gossip.Membership;
 import mulleinfront.manage.Calls;
 import mulleinfront.manage.ManagementServer;
 import mulleinfront.settings.Config;
+import mulleinfront.settings.ControlFile;
 import mulleinfront.settings.FleetFile;
+import mulleinfront.settings.Listing;
 
 /**
  * A client proxy on sockets: a {@link Core} whose time is an event loop's and whose wire are connections.
@@ -83,9 +87,14 @@
     private Refusals refusals;
     /** What it is in a fleet; null while it is in none, and then nothing of that is loaded. */
     private Membership membership;
+    /** The fleet's configuration; null while it is not watched, and then nothing of that is loaded. */
+    private Following following;
+    /** Where discovery is by this process's own configuration. */
+    private InetSocketAddress ownDiscovery;
 
     private ClientProxy(Config config, EventLoopGroup group) {
         this.config = config;
+        this.ownDiscovery = config.discovery();
         this.group = group;
         this.loop = group.next();
         int half = Math.max(1, (config.sockets() - OWN_SOCKETS) / 2);
@@ -315,6 +324,34 @@
         membership = Membership.join(loop, Upstream.BUFFERS, clock::now, config.seed(), file, core::living);
     }
 
+    /**
+     * Watches the fleet's configuration for all client proxies of a process. Of its keys one has an effect: {@code
+     * discovery} moves the watch of hosts, as a change of the process's own configuration does; the last word counts.
+     */
+    public void follow(ControlFile file, String name, List<ClientProxy> all) throws IOException {
+        String[] before = {null};
+        following = new Following(loop, Upstream.BUFFERS, file, name, config.seed(), version -> {
+            String now = version.entries().get("discovery");
+            if (!Objects.equals(now, before[0])) {
+                before[0] = now;
+                all.forEach(p -> p.move(now));
+            }
+        });
+        following.start();
+    }
+
+    /** Told no place, it goes back to the one of its own configuration. */
+    private void move(String to) {
+        loop.execute(() -> {
+            try {
+                InetSocketAddress address = to == null ? ownDiscovery : Listing.address(to);
+                core.run(() -> discovery.move(address));
+            } catch (IOException e) {
+                System.err.println("mulleinfront: discovery stays where it is: " + e.getMessage());
+            }
+        });
+    }
+
     /** Only where somebody may ask: nothing of it is loaded elsewhere. */
     private void countRefusals() {
         refusals = new Refusals(config.settings().classes());
@@ -445,6 +482,9 @@
             if (membership != null) {
                 membership.close();
             }
+            if (following != null) {
+                following.close();
+            }
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         });
         return group.terminationFuture();
@@ -455,7 +495,10 @@
      * start to end.
      */
     public void reload(Config changed) {
-        loop.execute(() -> core.run(() -> discovery.move(changed.discovery())));
+        loop.execute(() -> {
+            ownDiscovery = changed.discovery();
+            core.run(() -> discovery.move(ownDiscovery));
+        });
     }
 
     /** The port it listens on. */
--- a/src/main/java/mulleinfront/proxy/Serve.java
+++ b/src/main/java/mulleinfront/proxy/Serve.java
@@ -20,6 +20,7 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import mulleinfront.settings.Config;
+import mulleinfront.settings.ControlFile;
 import mulleinfront.settings.FleetFile;
 import mulleinfront.settings.Machine;
 import sun.misc.Signal;
@@ -34,8 +35,9 @@
      *
      * @param machine the file that says what to use of a machine, or null: one event loop, as deployed
      * @param fleetFile the file that makes it a member of a fleet, or null: the one that the configuration names, if any
+     * @param controlFile the file that says where the fleet's configuration is watched, or null: it is not
      */
-    public static void serve(String machine, String fleetFile) throws Exception {
+    public static void serve(String machine, String fleetFile, String controlFile) throws Exception {
         logPlainly();
         String file = System.getenv("NODE_CONFIG");
         CompletableFuture<List<ClientProxy>> started = new CompletableFuture<>();
@@ -51,6 +53,7 @@
         }
         FleetFile member = fleet == null ? null
                 : FleetFile.load(Path.of(fleet), Files.readAllBytes(Path.of(file)));
+        ControlFile control = controlFile == null ? null : ControlFile.load(Path.of(controlFile));
         // Before anybody can connect: what is taken between the first connection and the end of the start counts too.
         List<ClientProxy> begun = new CopyOnWriteArrayList<>();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -63,6 +66,9 @@
             if (member != null) {
                 proxies.get(0).join(member);
             }
+            if (control != null) {
+                proxies.get(0).follow(control, FleetFile.name(Files.readAllBytes(Path.of(file))), proxies);
+            }
             started.complete(proxies);
         } catch (Exception e) {
             // There is nothing to finish: the process ends by what went wrong.
--- a/src/main/java/mulleinfront/settings/DifferenceLine.java
+++ b/src/main/java/mulleinfront/settings/DifferenceLine.java
@@ -83,7 +83,7 @@
         return new Difference(from, to, changed, removed, why, atMillis, checksum(checksum));
     }
 
-    private static void entries(JsonParser in, SortedMap<String, String> into) throws IOException {
+    static void entries(JsonParser in, SortedMap<String, String> into) throws IOException {
         if (in.currentToken() != JsonToken.START_OBJECT) {
             throw new IOException("entries must be an object");
         }
--- a/src/main/java/mulleinfront/settings/FleetFile.java
+++ b/src/main/java/mulleinfront/settings/FleetFile.java
@@ -152,6 +152,24 @@
         return new Place(name, me, listen, List.copyOf(peers));
     }
 
+    /** What a configuration calls its client proxy. */
+    public static String name(byte[] json) throws IOException {
+        String name = null;
+        try (JsonParser in = Listing.JSON.createParser(json)) {
+            need(in.nextToken() == JsonToken.START_OBJECT, "must be an object");
+            while (in.nextToken() == JsonToken.FIELD_NAME) {
+                boolean its = in.currentName().equals("name");
+                if (in.nextToken() == JsonToken.VALUE_STRING && its) {
+                    name = in.getText();
+                } else {
+                    in.skipChildren();
+                }
+            }
+        }
+        need(name != null && NAME.matcher(name).matches(), "name must have 1 to 32 printable characters without blanks");
+        return name;
+    }
+
     private static List<InetSocketAddress> addresses(JsonParser in) throws IOException {
         need(in.currentToken() == JsonToken.START_ARRAY, "peers must be an array");
         List<InetSocketAddress> all = new ArrayList<>();
