Many services that call each other, on virtual time

Need: one world knew one service, so calls that make further calls, up to 10 deep, and client proxies that know only the services they call existed nowhere in the emulator.

Change: each service is a World of its own (servers, discovery, auditor, one core and module for each machine that calls it) on one queue; GraphWorld ties them together: machines, zones, regions, the calls that an application makes for a request, deadline and cancellation passed on, failures. A graph drawn by seed (CallGraph), its own auditor along the paths, time of a call by its parts, text and JSON: `emulate graph FILE`. scenarios/size/world.toml is the world of the size. World, Clients, EmulatedWire, Proxy and Network take a Part or a Hop where there is one and do as before where there is none.

--- a/src/main/java/mulleinfront/cli/Emulate.java
+++ b/src/main/java/mulleinfront/cli/Emulate.java
@@ -28,7 +28,7 @@
 
 /** {@code emulate}: plays a scenario on virtual time, under one seed or many. */
 @Command(name = "emulate", mixinStandardHelpOptions = true, subcommands = {ExplainCommand.class,
-        DrawCommand.class},
+        DrawCommand.class, GraphCommand.class},
         description = "Plays a scenario on virtual time and prints what clients had of it.",
         footer = {"", "Exit codes: 0 the rules were kept, 2 bad input (one line on standard error),"
             + " 3 a rule was broken."})
--- a/src/main/java/mulleinfront/emulator/Auditor.java
+++ b/src/main/java/mulleinfront/emulator/Auditor.java
@@ -38,6 +38,8 @@
     private final Map<String, Cold> cold = new HashMap<>();
     private final List<Breach> breaches = new ArrayList<>();
     private int breachCount;
+    /** Entries of all lists and changes told to client proxies. */
+    long entriesTold;
     private long leaveSlackUs;
 
     /** The four rules, by the names that the operators use. */
@@ -389,6 +391,7 @@
     }
 
     void told(int proxy, long version, Source source, List<Registry.Entry> entries, long now) {
+        entriesTold += entries.size();
         Map<String, Heard> servers = proxies.get(proxy).servers;
         if (source != Source.DELTA) {
             for (Heard h : servers.values()) {
--- a/src/main/java/mulleinfront/emulator/Clients.java
+++ b/src/main/java/mulleinfront/emulator/Clients.java
@@ -52,9 +52,11 @@
         int tries;
         /** What it counts for beside all; null: nothing. */
         Tally.Sum start;
+        /** The call of a graph that it is; null: none. */
+        final Hop hop;
 
         private Ask(int classIndex, RequestClass type, int tenant, String key, String effect, double work,
-                boolean overShare, long bornAt, int proxy, double patience, boolean honours) {
+                boolean overShare, long bornAt, int proxy, double patience, boolean honours, Hop hop) {
             this.classIndex = classIndex;
             this.type = type;
             this.tenant = tenant;
@@ -66,6 +68,7 @@
             this.proxy = proxy;
             this.patience = patience;
             this.honours = honours;
+            this.hop = hop;
         }
 
         long aimAt() {
@@ -185,20 +188,30 @@
         Scenario.ClassSpec spec = scenario.classes().get(c);
         int tenant = arrivals.place(tenants);
         String key = keys == null ? null : "k" + arrivals.place(keys);
-        double work = switch (spec.dist()) {
-            case FIXED -> spec.workUs();
-            case EXPONENTIAL -> arrivals.exponential(spec.workUs());
-            case LOGNORMAL -> arrivals.lognormal(spec.workUs(), spec.cv());
-        };
+        double work = spec.drawUs(arrivals);
         int proxy = arrivals.place(proxies);
         Ask ask = new Ask(c, spec.type(), tenant, key, "e" + ids, Math.max(1, work), overShare(tenant),
                 world.queue.now(), proxy, scenario.clients().patience().draw(habits::between),
-                habits.happens(scenario.clients().honour()));
+                habits.happens(scenario.clients().honour()), null);
         world.tally.asked(ask, world.proxies.get(proxy));
         world.account.asked(ask);
         attempt(ask);
     }
 
+    /** A call that a larger world makes in place of the clients. */
+    void call(Hop hop, int proxy, int tenant, String key, double work) {
+        Ask ask = new Ask(hop.classIndex, scenario.classes().get(hop.classIndex).type(), tenant, key, hop.effect,
+                Math.max(1, work), overShare(tenant), world.queue.now(), proxy, 1, false, hop);
+        world.tally.asked(ask, world.proxies.get(proxy));
+        world.account.asked(ask);
+        attempt(ask);
+    }
+
+    /** The application gives a call up. */
+    void giveUp(Try t) {
+        leave(t, How.LEFT);
+    }
+
     private boolean overShare(int tenant) {
         long now = world.queue.now();
         double most = SAVED_S * 1e6 * allowancePerUs[tenant];
@@ -216,6 +229,9 @@
         long now = world.queue.now();
         long deadline = Math.min(now + (long) (ask.patience * ask.type.deadlineUs()),
                 ask.bornAt + ask.type.deadlineUs());
+        if (ask.hop != null) {
+            deadline = Math.min(deadline, ask.hop.endAt);
+        }
         if (deadline - now < 1_000) {
             over(ask, How.TIMED_OUT);
             return;
@@ -223,7 +239,10 @@
         ask.tries++;
         String id = "q" + ids++;
         Try t = new Try(ask, new Call(id, ask.classIndex, ask.work, ask.key, ask.effect,
-                ask.type.dedupWindowUs()), now, deadline);
+                ask.type.dedupWindowUs(), ask.hop), now, deadline);
+        if (ask.hop != null) {
+            ask.hop.tried(t, now);
+        }
         world.tally.tried();
         world.account.tried(t);
         Instance proxy = world.proxies.get(ask.proxy);
@@ -285,17 +304,26 @@
         if (ask.honours) {
             wait = Math.max(wait, retryAfterUs);
         }
-        if (!harmless || ask.tries > scenario.clients().retries()
+        if (!harmless || ask.tries > (ask.hop == null ? scenario.clients().retries() : ask.hop.retries())
                 || now + wait >= ask.bornAt + ask.type.deadlineUs()) {
             over(ask, how);
             return;
         }
-        world.queue.after((long) wait, () -> attempt(ask));
+        world.queue.after((long) wait, () -> {
+            if (ask.hop != null && ask.hop.over()) {
+                over(ask, How.LEFT);
+            } else {
+                attempt(ask);
+            }
+        });
     }
 
     /** No further try follows. */
     private void over(Ask ask, How how) {
         double lost = world.tally.over(ask, how == How.SERVED, world.queue.now());
         world.account.over(ask, lost, world.queue.now());
+        if (ask.hop != null) {
+            ask.hop.ended(how, world.queue.now());
+        }
     }
 }
--- a/src/main/java/mulleinfront/emulator/EmulatedWire.java
+++ b/src/main/java/mulleinfront/emulator/EmulatedWire.java
@@ -117,6 +117,7 @@
         leaveIdle(link);
         all.remove(link);
         ServerModel.Job job = link.current == null ? null : link.current.job;
+        Attempt carried = link.current != null && link.current.over ? link.current : null;
         link.current = null;
         if (world.network.passes(proxy, zone, link.host)) {
             world.queue.after(world.network.delay(zone, link.host.zone), () -> {
@@ -124,6 +125,9 @@
                 if (job != null) {
                     link.life.cancel(job);
                 }
+                if (carried != null) {
+                    carried.stopBelow();
+                }
             });
         }
     }
@@ -200,6 +204,8 @@
         private final int number;
         private final int address;
         private final Call call;
+        /** The call of a graph that it is for; null: none. */
+        private final Hop hop;
         private final BooleanSupplier wanted;
         private final End<Answer> end;
         private final long endsAt;
@@ -207,6 +213,10 @@
         private Time.Timer dial;
         private Link link;
         private ServerModel.Job job;
+        /** The further calls that the server makes for it; null: none yet. */
+        private Handling handling;
+        /** The server knows that nobody waits for it. */
+        private boolean unwanted;
         private int fresh;
         private boolean written;
         private boolean over;
@@ -217,6 +227,7 @@
             this.number = number;
             this.address = address;
             this.call = call;
+            this.hop = call == null ? null : call.hop();
             this.wanted = wanted;
             this.end = end;
             this.endsAt = time.now() + timeoutUs;
@@ -225,6 +236,9 @@
 
         @Override
         public void start() {
+            if (hop != null) {
+                hop.begins(number, time.now());
+            }
             Link reused = rested(address);
             if (reused != null) {
                 write(reused);
@@ -292,6 +306,9 @@
                 world.account.sent(requestId, number, host);
                 world.tally.sent(zone == host.zone);
             }
+            if (hop != null) {
+                hop.written(number, fresh > 0, zone, host.zone, time.now());
+            }
             if (host.chance.happens(host.resetBefore)) {
                 // The host took the connection and not the whole request: that surely did not run.
                 close(to);
@@ -326,7 +343,10 @@
             double work = call.work() + (to.fresh ? to.life.handshakeWork() : 0);
             to.fresh = false;
             ServerModel.Job made = new ServerModel.Job(requestId, work, call.key(), call.effect(),
-                    call.windowUs(), endsAt, (how, inflight) -> back(to, how, inflight));
+                    call.windowUs(), endsAt, (how, inflight) -> worked(to, how, inflight));
+            if (hop != null) {
+                hop.arrived(number, world.queue.now());
+            }
             if (!over) {
                 job = made;
             }
@@ -340,10 +360,31 @@
             }
         }
 
+        /** The server's own work is done: where it is a part of a graph, its further calls come before its answer. */
+        private void worked(Link to, ServerModel.End how, int inflight) {
+            if (hop == null || how != ServerModel.End.SERVED) {
+                back(to, how, inflight);
+            } else if (!unwanted) {
+                handling = hop.serve(to.host, endsAt, end -> back(to, end, inflight));
+                handling.begin();
+            }
+        }
+
+        /** Word has come to the server that nobody waits any more. */
+        private void stopBelow() {
+            unwanted = true;
+            if (handling != null) {
+                handling.cancel();
+            }
+        }
+
         /** The server answers. */
         private void back(Link to, ServerModel.End how, int inflight) {
             Host host = to.host;
             to.servedAt = world.queue.now();
+            if (hop != null) {
+                hop.left(number, world.queue.now());
+            }
             if (requestId != null && host.chance.happens(host.resetAfter)) {
                 world.reset(to);
                 return;
--- /dev/null
+++ b/src/main/java/mulleinfront/emulator/GraphReader.java
@@ -0,0 +1,151 @@
+package mulleinfront.emulator;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import mulleinfront.Balancer.Effect;
+import mulleinfront.emulator.GraphSpec.Failure;
+import mulleinfront.emulator.GraphSpec.Kind;
+import mulleinfront.settings.BadFileException;
+import mulleinfront.settings.Range;
+import mulleinfront.settings.Section;
+
+/**
+ * Reads a file of many services: a scenario's tables, and {@code [graph]}, {@code [[region]]} and
+ * {@code [[failure]]}. The keys stand on the page {@code docs/emulator.md}.
+ */
+public final class GraphReader {
+    private enum RateOf { CALLS, REQUESTS }
+
+    private GraphReader() { }
+
+    /**
+     * Reads a file, and the file of the world that it stands on, if it names one.
+     *
+     * @throws BadFileException one line with file, line and reason
+     */
+    public static GraphSpec read(Path file) throws BadFileException {
+        String text = ScenarioReader.text(file);
+        String world = Section.root(file.toString(), text, null).table("scenario").text("world", "");
+        Section base = null;
+        if (!world.isEmpty()) {
+            Path beside = file.resolveSibling(world);
+            base = Section.root(beside.toString(), ScenarioReader.text(beside), null);
+            if (base.table("scenario").says("world")) {
+                throw new BadFileException(beside + ":1: scenario.world: stands on another world itself");
+            }
+        }
+        return read(file.toString(), Section.root(file.toString(), text, base));
+    }
+
+    static GraphSpec read(String file, Section root) throws BadFileException {
+        List<Section> regions = root.tables("region");
+        Section graph = root.table("graph");
+        List<Section> failures = root.ownTables("failure");
+        if (!root.has("graph")) {
+            throw root.wrong("graph", "there is no [graph]: one service alone is played by emulate");
+        }
+        Scenario world = ScenarioReader.read(file, root);
+        if (world.servers().size() != 1) {
+            throw root.wrong("servers", "one [[servers]] says what a machine is, and how many there are");
+        }
+        if (world.load().shape() != Scenario.Shape.STEADY) {
+            throw root.table("load").wrong("shape", "a graph is asked steadily");
+        }
+        if (world.classes().stream().noneMatch(c -> c.type().effect() == Effect.RETRYABLE)) {
+            throw root.wrong("class", "calls that read need a class whose effect is safe");
+        }
+        int[] regionOf = new int[world.zones().size()];
+        List<String> names = regions(root, regions, world.zones(), regionOf);
+        int depth = graph.count("depth", 10, 1);
+        int fronts = graph.count("fronts", 3, 1);
+        int services = graph.count("services", null, fronts + depth);
+        Range work = graph.numbers("work-factor", Range.of(1), 0);
+        if (work.low() <= 0) {
+            throw graph.wrong("work-factor", "must be more than nothing");
+        }
+        GraphSpec spec = new GraphSpec(world, names, regionOf, graph.times("between-regions", Range.of(0)), services,
+                depth, fronts, graph.share("front-hosts", 0.1, 1), graph.count("least-hosts", 3, 1),
+                graph.count("fan-out", 4, 0), graph.number("skew", 0.8, 0), graph.share("chain", 0.75, 1),
+                graph.number("calls-per-request", null, 1), graph.word("rate-of", RateOf.CALLS, RateOf.class)
+                == RateOf.CALLS, work, graph.share("in-turn", 0.5, 1), graph.share("optional", 0.3, 1),
+                graph.share("reads", 0.6, 1), graph.time("reserve", 2_000L), graph.count("rack", 20, 1),
+                graph.time("added-budget", 660L), List.of());
+        graph.done();
+        try {
+            CallGraph.draw(spec, 1);
+        } catch (IllegalArgumentException e) {
+            throw graph.wrong(e.getMessage());
+        }
+        List<Failure> all = new ArrayList<>();
+        for (Section s : failures) {
+            all.add(failure(s, world));
+            s.done();
+        }
+        return new GraphSpec(world, names, regionOf, spec.betweenRegions(), services, depth, fronts, spec.frontPart(),
+                spec.leastHosts(), spec.fanOut(), spec.skew(), spec.chain(), spec.callsPerRequest(),
+                spec.rateOfCalls(), work, spec.inTurn(), spec.optional(), spec.reads(), spec.reserveUs(), spec.rack(),
+                spec.budgetUs(), all);
+    }
+
+    private static List<String> regions(Section root, List<Section> regions, List<String> zones, int[] regionOf)
+            throws BadFileException {
+        Arrays.fill(regionOf, -1);
+        List<String> names = new ArrayList<>();
+        Set<String> seen = new HashSet<>();
+        for (Section s : regions) {
+            String name = s.text("name", null);
+            if (!seen.add(name)) {
+                throw s.wrong("name", "there is another region called " + name);
+            }
+            for (String zone : s.texts("zones")) {
+                int z = zones.indexOf(zone);
+                if (z < 0) {
+                    throw s.wrong("zones", "there is no zone '" + zone + "'");
+                }
+                if (regionOf[z] >= 0) {
+                    throw s.wrong("zones", zone + " is in another region too");
+                }
+                regionOf[z] = names.size();
+            }
+            names.add(name);
+            s.done();
+        }
+        for (int z = 0; z < regionOf.length; z++) {
+            if (regionOf[z] < 0) {
+                throw root.wrong("region", "no [[region]] has the zone " + zones.get(z));
+            }
+        }
+        return names;
+    }
+
+    private static Failure failure(Section s, Scenario world) throws BadFileException {
+        Kind kind = s.word("do", null, Kind.class);
+        long at = s.time("at", null);
+        if (at > world.lengthUs()) {
+            throw s.wrong("at", "the scenario is over by then");
+        }
+        if (kind == Kind.CUT) {
+            return new Failure(kind, at, s.time("for", null), 0, -1, -1, false, 0, 0, false);
+        }
+        int zone = -1;
+        if (s.has("zone")) {
+            zone = world.zones().indexOf(s.text("zone", null));
+            if (zone < 0) {
+                throw s.wrong("zone", "there is no such zone");
+            }
+        }
+        double batch = s.share("batch", 0.0, 1);
+        long within = s.time("within", 0L);
+        if (batch > 0 && within <= 0) {
+            throw s.wrong("batch", "batches need the time within which all of them come");
+        }
+        boolean restart = kind == Kind.RESTART;
+        return new Failure(kind, at, s.time("for", restart ? (Long) 0L : null), within,
+                s.has("count") ? s.count("count", null, 1) : -1, zone, s.flag("rack", false), batch,
+                restart ? s.time("drain", 3_000_000L) : 0, restart && s.flag("proxies", false));
+    }
+}
--- a/src/main/java/mulleinfront/emulator/Host.java
+++ b/src/main/java/mulleinfront/emulator/Host.java
@@ -57,6 +57,7 @@
         private final ArrayDeque<double[]> sent = new ArrayDeque<>();
         private double sum;
         private double marked;
+        private double most;
 
         Budget(long windowUs, double multiple) {
             this.windowUs = windowUs;
@@ -77,7 +78,14 @@
                 sum -= first[1];
                 marked -= first[2];
             }
-            return sum > multiple * capacity * windowUs;
+            double bears = multiple * capacity * windowUs;
+            most = Math.max(most, sum / bears);
+            return sum > bears;
+        }
+
+        /** The most that was sent within a window, as a part of what the server bore then. */
+        double most() {
+            return most;
         }
 
         /** Part of the work within the window that was marked. */
--- a/src/main/java/mulleinfront/emulator/Proxy.java
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -253,6 +253,9 @@
         private void taken(Clients.Try t, long now) {
             world.audit.taken(number, t.call.id(), t.call.classIndex(), now, t.deadlineAt);
             world.account.taken(t.call.id());
+            if (t.call.hop() != null) {
+                t.call.hop().taken(now());
+            }
             waiting.add(t);
             onCpu(cpu.halfUs(requests++), () -> {
                 if (waiting.remove(t)) {
@@ -285,6 +288,9 @@
                     onCpu(cpu.halfUs(requests), () -> {
                         if (answering.remove(t)) {
                             world.audit.served(number, t.call.id(), answer.requestId(), now());
+                            if (t.call.hop() != null) {
+                                t.call.hop().answered(now());
+                            }
                             over(t, Clients.How.SERVED, 0);
                         }
                     });
--- a/src/main/java/mulleinfront/emulator/Scenario.java
+++ b/src/main/java/mulleinfront/emulator/Scenario.java
@@ -135,10 +135,27 @@
             double probeWork, int probes, boolean deepProbes, Range coldFrom, Range coldFor, double coldWork,
             long pauseEveryUs, Range pause, double crowdAt, double crowdLoss, ServerModel.Linger linger,
             ServerModel.Stops stops, boolean dropsExpired, long keyMemoryUs, double keySaving,
-            int keysKept) { }
+            int keysKept) {
+        /** So many of the same under another name. */
+        Servers named(String other, int many) {
+            return new Servers(other, many, cell, weight, cores, speed, slots, room, connections, handshakeWork,
+                    idleCloseUs, errors, reportEvery, probeWork, probes, deepProbes, coldFrom, coldFor, coldWork,
+                    pauseEveryUs, pause, crowdAt, crowdLoss, linger, stops, dropsExpired, keyMemoryUs, keySaving,
+                    keysKept);
+        }
+    }
 
     /** A class of requests, as the module knows it and with the work that it makes. */
-    public record ClassSpec(Balancer.RequestClass type, double share, double workUs, Dist dist, double cv) { }
+    public record ClassSpec(Balancer.RequestClass type, double share, double workUs, Dist dist, double cv) {
+        /** Work of one request, microseconds. */
+        double drawUs(Chance chance) {
+            return switch (dist) {
+                case FIXED -> workUs;
+                case EXPONENTIAL -> chance.exponential(workUs);
+                case LOGNORMAL -> chance.lognormal(workUs, cv);
+            };
+        }
+    }
 
     /**
      * @param share of the service that it has a right to
@@ -260,6 +277,14 @@
         return with(p, rules, faults);
     }
 
+    /** The same world as one service of many, without faults: these servers, and so many client proxies that call it. */
+    Scenario asService(String itsName, long itsLengthUs, Proxies itsProxies, Clients itsClients, Load itsLoad,
+            Servers itsServers, List<ClassSpec> itsClasses) {
+        return new Scenario(itsName, title, itsLengthUs, settleUs, zones, network, discovery, itsProxies, itsClients,
+                itsLoad, List.of(itsServers), itsClasses, tenants, overShareWorth, limits, rules, service, null,
+                List.of());
+    }
+
     /** The same world with each time limit of its rules so much longer. */
     Scenario withSlack(long us) {
         Rules r = new Rules(rules.answerSlackUs() + us, rules.drainUs() + us, rules.coldMultiple(), rules.coldForUs(),
--- a/src/main/java/mulleinfront/emulator/ScenarioReader.java
+++ b/src/main/java/mulleinfront/emulator/ScenarioReader.java
@@ -61,7 +61,7 @@
         });
     }
 
-    private static String text(Path file) throws BadFileException {
+    static String text(Path file) throws BadFileException {
         try {
             return Files.readString(file, StandardCharsets.UTF_8);
         } catch (NoSuchFileException e) {
@@ -93,7 +93,8 @@
         return read(file, Section.root(file, text, base));
     }
 
-    private static Scenario read(String file, Section root) throws BadFileException {
+    /** The same of a root whose other tables have been asked for. */
+    static Scenario read(String file, Section root) throws BadFileException {
         Section head = root.table("scenario");
         head.text("world", "");
         if (!head.says("title")) {
--- a/src/main/java/mulleinfront/emulator/World.java
+++ b/src/main/java/mulleinfront/emulator/World.java
@@ -24,7 +24,7 @@
     final Scenario scenario;
     /** What each client proxy is told of the scenario. */
     final Balancer.Settings settings;
-    final EventQueue queue = new EventQueue();
+    final EventQueue queue;
     final Network network;
     final Registry registry;
     final Auditor audit;
@@ -40,6 +40,8 @@
     /** Whether client proxies may stand still. */
     final boolean pauses;
     private final Stage outside;
+    /** What it takes from the larger world that it is a part of; null: it stands alone. */
+    private final Part part;
     private final long seed;
     private final List<Host> byAddress = new ArrayList<>();
     private final Map<Object, ServerModel.Group> groups = new LinkedHashMap<>();
@@ -63,6 +65,16 @@
      * @param outside where the client proxies are and servers listen, or null: all of it is in here
      */
     World(Scenario scenario, long seed, Trace trace, Makers makers, Fitting fitting, Stage outside) {
+        this(scenario, seed, trace, makers, fitting, outside, null);
+    }
+
+    /**
+     * @param part what it takes from the larger world that it is a part of, which makes its calls and its faults; or
+     *        null: it stands alone
+     */
+    World(Scenario scenario, long seed, Trace trace, Makers makers, Fitting fitting, Stage outside, Part part) {
+        this.part = part;
+        this.queue = part == null ? new EventQueue() : part.queue();
         this.outside = outside;
         this.fitting = fitting;
         this.scenario = scenario;
@@ -70,7 +82,8 @@
         this.pauses = scenario.faults().stream().anyMatch(f -> f.kind() == Scenario.Kind.PAUSE_PROXY);
         this.seed = seed;
         this.trace = trace;
-        this.network = new Network(scenario.network(), scenario.zones().size(), chance("network"));
+        this.network = part == null ? new Network(scenario.network(), scenario.zones().size(), chance("network"))
+                : new Network(part.oneWay(), scenario.network().jitter(), chance("network"));
         this.audit = new Auditor(scenario);
         this.tally = new Tally(scenario);
         this.account = new Account(this);
@@ -85,8 +98,10 @@
             }
         }
         this.clients = new Clients(this);
-        clients.begin(outside == null ? scenario.proxies().startWithinUs() : 0);
-        new Script(this).schedule();
+        if (part == null) {
+            clients.begin(outside == null ? scenario.proxies().startWithinUs() : 0);
+            new Script(this).schedule();
+        }
     }
 
     /** A world as it is shipped: with the real module. */
@@ -142,7 +157,8 @@
         int kind = 0;
         for (Scenario.Servers group : scenario.servers()) {
             for (int i = 0; i < group.count(); i++, number++) {
-                Host host = add(group.name() + "-" + i, number % scenario.zones().size(), kind,
+                Host host = add(group.name() + "-" + i,
+                        part == null ? number % scenario.zones().size() : part.zoneOfHost(number), kind,
                         number / group.cell(), group);
                 host.life = process(host, false);
                 registry.know(new Registry.Entry(host.listed(Availability.READY), host.address));
@@ -171,16 +187,18 @@
 
     /** The zone that a client proxy is in: they are spread over all in turn. */
     int zoneOf(int proxy) {
-        return proxy % scenario.zones().size();
+        return part == null ? proxy % scenario.zones().size() : part.zoneOfProxy(proxy);
     }
 
     private void startProxies(Makers makers) {
         Scenario.Proxies spec = scenario.proxies();
         Chance chance = chance("starts");
         for (int i = 0; i < spec.count(); i++) {
-            Proxy p = new Proxy(this, i, zoneOf(i), trace.around(makers.in(this, zoneOf(i)), i, queue));
+            Proxy p = new Proxy(this, i, zoneOf(i), trace.around(makers.in(this, zoneOf(i)),
+                    part == null ? i : part.traceNumber(i), queue));
             proxies.add(p);
-            queue.after((long) (spec.startWithinUs() * chance.unit()), () -> p.start(known()));
+            queue.after(part == null ? (long) (spec.startWithinUs() * chance.unit()) : part.startAt(i),
+                    () -> p.start(known()));
         }
     }
 
@@ -218,7 +236,12 @@
     ServerModel process(Host host, boolean cold) {
         host.budget.clear();
         ServerModel life = new ServerModel(host.machine, queue, host.chance, groupOf(host),
-                (job, dropped) -> audit.ran(job.requestId, host.id, dropped, queue.now()), cold);
+                (job, dropped) -> {
+                    audit.ran(job.requestId, host.id, dropped, queue.now());
+                    if (part != null) {
+                        part.ran(job.effect, dropped);
+                    }
+                }, cold);
         tally.began(host, life);
         return life;
     }
@@ -269,6 +292,9 @@
         if (outside != null) {
             outside.changed(host);
         }
+        if (part != null) {
+            part.changed(host);
+        }
     }
 
     void resetAll(Host host) {
@@ -315,6 +341,9 @@
     /** A client proxy has given a request up, and says why. */
     void unserved(int proxy, long now, Refusal why) {
         tally.unserved(now, why);
+        if (part != null) {
+            part.unserved(now, why);
+        }
         trace.why(now, proxy, why);
     }
 
