--- a/src/main/java/mulleinfront/cli/GraphCommand.java
+++ b/src/main/java/mulleinfront/cli/GraphCommand.java
@@ -79,8 +79,8 @@
         }
         PrintWriter out = spec.commandLine().getOut();
         out.print(report.text());
-        out.printf(Locale.ROOT, "played in %.1f s, %.1f s of processor: %.2f virtual seconds a CPU second%n",
-                (System.nanoTime() - wall) / 1e9, cpuS, report.playedUs() / 1e6 / Math.max(1e-3, cpuS));
+        out.printf(Locale.ROOT, "played in %.1f s, %.1f s of processor: %.2f virtual seconds of load a CPU second%n",
+                (System.nanoTime() - wall) / 1e9, cpuS, report.askedUs() / 1e6 / Math.max(1e-3, cpuS));
         out.flush();
         return report.brokenCount() == 0 ? CommandLine.KEPT : CommandLine.RULE_BROKEN;
     }
--- a/src/main/java/mulleinfront/emulator/GraphReader.java
+++ b/src/main/java/mulleinfront/emulator/GraphReader.java
@@ -72,7 +72,8 @@
                 graph.count("fan-out", 4, 0), graph.number("skew", 0.8, 0), graph.share("chain", 0.75, 1),
                 graph.number("calls-per-request", null, 1), graph.word("rate-of", RateOf.CALLS, RateOf.class)
                 == RateOf.CALLS, work, graph.share("in-turn", 0.5, 1), graph.share("optional", 0.3, 1),
-                graph.share("reads", 0.6, 1), graph.time("reserve", 2_000L), graph.count("rack", 20, 1),
+                graph.share("reads", 0.6, 1), graph.word("told", GraphSpec.Told.ATTEMPT, GraphSpec.Told.class),
+                graph.time("reserve", 2_000L), graph.count("rack", 20, 1),
                 graph.time("added-budget", 660L), List.of());
         graph.done();
         try {
@@ -85,10 +86,7 @@
             all.add(failure(s, world));
             s.done();
         }
-        return new GraphSpec(world, names, regionOf, spec.betweenRegions(), services, depth, fronts, spec.frontPart(),
-                spec.leastHosts(), spec.fanOut(), spec.skew(), spec.chain(), spec.callsPerRequest(),
-                spec.rateOfCalls(), work, spec.inTurn(), spec.optional(), spec.reads(), spec.reserveUs(), spec.rack(),
-                spec.budgetUs(), all);
+        return spec.failing(all);
     }
 
     private static List<String> regions(Section root, List<Section> regions, List<String> zones, int[] regionOf)
--- a/src/main/java/mulleinfront/emulator/GraphReport.java
+++ b/src/main/java/mulleinfront/emulator/GraphReport.java
@@ -19,7 +19,7 @@
     private static final String[] NAMES = {"p50", "p99", "p999"};
     private static final int FIRST_SECONDS = 10;
     /** The first seconds, whose refusals are counted apart. */
-    private static final int EARLY_SECONDS = 5;
+    private static final int EARLY_SECONDS = (int) (GraphTally.EARLY_US / 1_000_000);
 
     private final GraphWorld graph;
     private final GraphTally tally;
@@ -77,9 +77,9 @@
         return tally.depths[depth].calls;
     }
 
-    /** Virtual microseconds that were played. */
-    public long playedUs() {
-        return graph.queue.now();
+    /** Virtual microseconds for which requests came. */
+    public long askedUs() {
+        return spec.world().lengthUs();
     }
 
     /** Servers that were pushed over while cold. */
@@ -233,6 +233,9 @@
             row(out, String.valueOf(d), tally.depths[d]);
         }
         row(out, "all", tally.all);
+        if (tally.later.calls > 0) {
+            row(out, "later", tally.later);
+        }
     }
 
     private static void row(StringBuilder out, String name, Group g) {
@@ -244,12 +247,19 @@
     }
 
     private void spans(StringBuilder out) {
+        spans(out, "all", tally.all);
+        if (tally.later.calls > 0) {
+            spans(out, "made after the first " + EARLY_SECONDS + " s", tally.later);
+        }
+    }
+
+    private void spans(StringBuilder out, String which, Group g) {
         line(out, "");
-        line(out, "%-11s %9s %9s %9s %9s %9s   of an answered call, ms; over %.2f ms added: %.2f%%", "time", "mean",
-                "p50", "p99", "p99.9", "most", spec.budgetUs() / 1e3, 100 * tally.all.of(Span.ADDED)
-                .above(spec.budgetUs()));
+        line(out, "%-11s %9s %9s %9s %9s %9s   of an answered call, ms (%s); over %.2f ms added: %.2f%%; on a new"
+                + " connection: %.1f%%", "time", "mean", "p50", "p99", "p99.9", "most", which, spec.budgetUs() / 1e3,
+                100 * g.of(Span.ADDED).above(spec.budgetUs()), 100.0 * g.connected / Math.max(1, g.attempts));
         for (Span span : Span.values()) {
-            Histogram h = tally.all.of(span);
+            Histogram h = g.of(span);
             line(out, "%-11s %9.3f %9.3f %9.3f %9.3f %9.3f", mulleinfront.settings.Section.form(span), h.mean() / 1e3,
                     h.at(0.5) / 1e3, h.at(0.99) / 1e3, h.at(0.999) / 1e3, h.most() / 1e3);
         }
@@ -322,6 +332,10 @@
             out.writeObjectFieldStart("all");
             group(out, tally.all);
             out.writeEndObject();
+            out.writeObjectFieldStart("later");
+            group(out, tally.later);
+            out.writeNumberField("added_over_budget", tally.later.of(Span.ADDED).above(spec.budgetUs()));
+            out.writeEndObject();
             out.writeArrayFieldStart("depths");
             for (int d = 1; d <= spec.depth(); d++) {
                 out.writeStartObject();
--- a/src/main/java/mulleinfront/emulator/GraphSpec.java
+++ b/src/main/java/mulleinfront/emulator/GraphSpec.java
@@ -27,6 +27,7 @@
  * @param inTurn part of the services that make their calls one after the other rather than at once
  * @param optional part of the calls without which a service answers all the same
  * @param reads part of the calls that are safe whatever the request is
+ * @param told which time a server is told with a call
  * @param reserveUs what a service keeps of its time for its own answer's way
  * @param rack machines of a rack
  * @param budgetUs time that may be added to a call
@@ -35,7 +36,15 @@
 public record GraphSpec(Scenario world, List<String> regions, int[] regionOf, Range betweenRegions, int services,
         int depth, int fronts, double frontPart, int leastHosts, int fanOut, double skew, double chain,
         double callsPerRequest, boolean rateOfCalls, Range workFactor, double inTurn, double optional, double reads,
-        long reserveUs, int rack, long budgetUs, List<Failure> failures) {
+        Told told, long reserveUs, int rack, long budgetUs, List<Failure> failures) {
+
+    /** The time that a server is told, and divides among its own calls. */
+    public enum Told {
+        /** How long the client proxy waits for this attempt, as the wire's page says and {@code serve} does. */
+        ATTEMPT,
+        /** How long the application waits for the call. */
+        REQUEST
+    }
 
     /** What can happen to machines. */
     public enum Kind {
@@ -70,6 +79,13 @@
         return world.fleet();
     }
 
+    /** The same with other failures. */
+    GraphSpec failing(List<Failure> others) {
+        return new GraphSpec(world, regions, regionOf, betweenRegions, services, depth, fronts, frontPart, leastHosts,
+                fanOut, skew, chain, callsPerRequest, rateOfCalls, workFactor, inTurn, optional, reads, told,
+                reserveUs, rack, budgetUs, others);
+    }
+
     /** Requests from outside a second. */
     public double requestsPerSecond() {
         return rateOfCalls ? world.load().perSecond() / callsPerRequest : world.load().perSecond();
@@ -101,7 +117,7 @@
         }
         int smallRack = hosts > 0 ? Math.max(1, rack * hosts / hosts()) : rack;
         return new GraphSpec(sized, regions, regionOf, betweenRegions, services, depth, fronts, frontPart, leastHosts,
-                fanOut, skew, chain, callsPerRequest, rateOfCalls, workFactor, inTurn, optional, reads, reserveUs,
-                smallRack, budgetUs, scaled);
+                fanOut, skew, chain, callsPerRequest, rateOfCalls, workFactor, inTurn, optional, reads, told,
+                reserveUs, smallRack, budgetUs, scaled);
     }
 }
--- a/src/main/java/mulleinfront/emulator/GraphTally.java
+++ b/src/main/java/mulleinfront/emulator/GraphTally.java
@@ -39,6 +39,8 @@
         long acrossZones;
         long acrossRegions;
         long connected;
+        /** Answers from another region. */
+        long servedAcross;
 
         Group() {
             Arrays.setAll(spans, i -> new Histogram());
@@ -82,8 +84,13 @@
         long withOneBeyond;
     }
 
+    /** The first seconds, which are counted apart, microseconds. */
+    static final long EARLY_US = 5_000_000;
+
     private final GraphSpec spec;
     final Group all = new Group();
+    /** Calls made when all have been up for a while. */
+    final Group later = new Group();
     final Group[] depths;
     final Group[] services;
     final Deepest[] deepest;
@@ -96,7 +103,7 @@
     long requestsLeft;
     double asked;
     double earned;
-    /** Entries of the lists, connections and such, at the fullest second. */
+    /** Connections of one client proxy to all hosts at the fullest second: of the fullest one, and on the mean. */
     int mostConnections;
     double meanConnections;
 
@@ -156,13 +163,17 @@
 
     void called(Hop hop, long now) {
         all.calls++;
+        later.calls += now >= EARLY_US ? 1 : 0;
         depths[hop.depth()].calls++;
         services[hop.edge.to()].calls++;
         second(now).calls++;
     }
 
-    void sent(int depth, int fromZone, int toZone, boolean connected) {
+    void sent(int depth, long bornAt, int fromZone, int toZone, boolean connected) {
         sent(all, fromZone, toZone, connected);
+        if (bornAt >= EARLY_US) {
+            sent(later, fromZone, toZone, connected);
+        }
         sent(depths[depth], fromZone, toZone, connected);
     }
 
@@ -176,6 +187,9 @@
     /** A call has ended for the application that made it. */
     void ended(Hop hop, Clients.How how, long now) {
         ended(all, hop, how, now);
+        if (hop.bornAt() >= EARLY_US) {
+            ended(later, hop, how, now);
+        }
         ended(depths[hop.depth()], hop, how, now);
         ended(services[hop.edge.to()], hop, how, now);
         if (how == Clients.How.REFUSED) {
@@ -194,6 +208,7 @@
         double worth = spec.world().classes().get(hop.classIndex).type().worth();
         g.asked += worth;
         if (how == Clients.How.SERVED) {
+            g.servedAcross += hop.acrossRegions() ? 1 : 0;
             g.inTime += now <= hop.above.request.aimAt ? worth : 0;
             for (Span span : Span.values()) {
                 g.of(span).add(hop.span(span, now));
--- a/src/main/java/mulleinfront/emulator/GraphWorld.java
+++ b/src/main/java/mulleinfront/emulator/GraphWorld.java
@@ -243,7 +243,12 @@
         return parts[service];
     }
 
-    GraphMachine machine(int service, Host host) {
+    /** Answers that came from another region than their call. */
+    long servedAcrossRegions() {
+        return tally.all.servedAcross;
+    }
+
+    GraphMachine machine(Host host) {
         return byHost.get(host);
     }
 
--- a/src/main/java/mulleinfront/emulator/Hop.java
+++ b/src/main/java/mulleinfront/emulator/Hop.java
@@ -25,7 +25,7 @@
     private long arrivedAt;
     private long leftAt;
     private long answeredAt;
-    private boolean connected;
+    private boolean across;
     private boolean over;
 
     Hop(GraphWorld graph, CallGraph.Edge edge, Handling above, int classIndex, String effect, long endAt) {
@@ -51,6 +51,11 @@
         return over;
     }
 
+    /** When the application made it. */
+    long bornAt() {
+        return bornAt;
+    }
+
     // ---- on its way, as it happens ---------------------------------------------------------------------
 
     void tried(Clients.Try t, long now) {
@@ -70,15 +75,14 @@
         firstAt = firstAt < 0 ? now : firstAt;
         number = attempt;
         begunAt = now;
-        connected = false;
     }
 
     void written(int attempt, boolean fresh, int fromZone, int toZone, long now) {
         graph.audit.sent(this, now);
-        graph.tally.sent(depth(), fromZone, toZone, fresh);
+        graph.tally.sent(depth(), bornAt, fromZone, toZone, fresh);
         if (attempt == number) {
             writtenAt = now;
-            connected = fresh;
+            across = graph.spec.regionOf()[fromZone] != graph.spec.regionOf()[toZone];
         }
     }
 
@@ -99,9 +103,14 @@
         answeredAt = now;
     }
 
-    /** A server goes on with it by its own calls. */
+    /**
+     * A server goes on with it by its own calls.
+     *
+     * @param endsAt when the client proxy waits for this attempt no more
+     */
     Handling serve(Host host, long endsAt, Handling.Done done) {
-        return new Handling(graph, above.request, this, graph.machine(edge.to(), host), endsAt, done);
+        long told = graph.spec.told() == GraphSpec.Told.ATTEMPT ? endsAt : endAt;
+        return new Handling(graph, above.request, this, graph.machine(host), told, done);
     }
 
     // ---- its end ---------------------------------------------------------------------------------------
@@ -127,9 +136,9 @@
         }
     }
 
-    /** Whether its answer needed a new connection. */
-    boolean connected() {
-        return connected;
+    /** Whether its last attempt went to another region. */
+    boolean acrossRegions() {
+        return across;
     }
 
     /** What the time of an answered call went into, by {@link GraphTally.Span}, microseconds. */
