A client that left is asked for as its attempt is written, and read to its end

Seen in the code: (1) the core asked only whether the request was answered, so a close that had come and was not read (the loop stood still, a first request with the close right behind it, a host's reset in the same turn, a connection coming up, a hold that ends) let the attempt go. (2) While 16 requests or 64 KB waited, Frontend.readOn stopped reading and peeked 8 KB each 10 to 100 ms, at most 1 MB: 400 KB took half a second, and behind 1 MB a close was never seen. (3) While a large body waited for a host, reading had stopped for good.

Weighed for noticing a close behind unread bytes: EPOLLRDHUP (Java NIO has none; Netty's native epoll would be a library to load at each start); /proc/net/tcp (a file of all sockets for each attempt); an unasked 100 Continue as a probe (a write that clients may not expect, and it shows a close one round trip late); reading on into a bounded buffer (chosen). So Core asks its caller as the last thing before the first byte (Caller.present), and ClientChannel answers by a non-blocking read of what is there, up to 64 KB kept for the pipeline and counted with what is held; one system call an attempt. And reading no longer stops: up to 1 MB of one client and 8 MB of all is held as before, and what is beyond is read, dropped and refused in its turn with a Retry-After (one counter for a run of such), so a close shows at the speed of the network whatever was sent. A body that waits for a host is read on up to 1 MB. Left: behind more than 1 MB of one body that no host has taken yet a close is not seen; the protocol has 64 KB.

A connection in the backlog as the listener closes after SIGTERM was reset, and one that was accepted and not read at the last call was read and dropped: both if the loop had stood still. The listener now takes all that waits before it closes, the last call is timed from then, and a connection is not closed on as resting while bytes of a request are there.

Two of ShutdownTest fail without it (seen: a reset and an end without an answer).

--- a/src/main/java/mulleinfront/core/Caller.java
+++ b/src/main/java/mulleinfront/core/Caller.java
@@ -11,6 +11,14 @@
     /** The request is open: told before any answer, and not at all if it is refused before it opens. */
     void opened(Core.Exchange<Q, A> exchange);
 
+    /**
+     * Asked right before an attempt's first byte leaves, whether the caller still waits: its leaving may have come and
+     * not been read yet. One that says no has gone by that, and does not say {@link Core#gone} besides.
+     */
+    default boolean present() {
+        return true;
+    }
+
     /** A host's own answer. */
     void served(A answer);
 
--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -365,7 +365,7 @@
                 || number >= settings.limits().maxAttempts();
         long within = x.reading ? Wire.OPEN : timeoutUs == 0 ? left : Math.min(left, timeoutUs);
         Wire.Attempt made = vain ? null : wire.attempt(x.request.id(), number, hostId, x.call, within,
-                () -> !x.answered && ready.contains(hostId) && mayRunNow(x), new Wire.End<>() {
+                () -> !x.answered && ready.contains(hostId) && mayRunNow(x) && present(x), new Wire.End<>() {
                     @Override
                     public void ended(Outcome outcome, A answer) {
                         attemptEnded(x, number, sentAt, outcome, answer);
@@ -405,6 +405,14 @@
                 || time.now() < x.mayHaveRunAt + x.type.dedupWindowUs();
     }
 
+    private boolean present(Exchange<Q, A> x) {
+        boolean is = x.caller.present();
+        if (!is) {
+            gone(x);
+        }
+        return is;
+    }
+
     private void reported(String hostId, double held) {
         run(() -> balancer.onReport(time.now(), hostId, held));
     }
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -529,6 +529,11 @@
         return left;
     }
 
+    /** When whoever is refused for what it sent ahead may come again, microseconds; 0: no advice. */
+    long comeBackUs() {
+        return config.settings().limits().maxRetryAfterUs();
+    }
+
     /** The client closed its connection. */
     void gone(Core.Exchange<Call, Upstream.Answer> x) {
         core.gone(x);
--- a/src/main/java/mulleinfront/proxy/Flow.java
+++ b/src/main/java/mulleinfront/proxy/Flow.java
@@ -5,9 +5,9 @@
 import java.util.function.Consumer;
 
 /**
- * A body on its way from one connection to another, piece by piece at the reader's pace. Nothing is read of it before
- * somebody takes it, and while that one wants no more; what had been read by then waits here and is a few reads at
- * most. All calls come on the event loop.
+ * A body on its way from one connection to another, piece by piece at the reader's pace. Up to a bound is read of it
+ * before somebody takes it, and nothing while that one wants no more; what had been read by then waits here and is a
+ * few reads at most. All calls come on the event loop.
  */
 final class Flow {
     /** The largest body that is carried, bytes: the operators' 32 MB with some room. */
@@ -27,9 +27,11 @@
     }
 
     private final long length;
+    private final int most;
     private final Consumer<Boolean> pace;
     private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
     private Sink sink;
+    private int waitingBytes;
     private boolean given;
     private boolean stopped;
     private boolean ended;
@@ -37,12 +39,16 @@
 
     /**
      * @param length of the whole body, bytes; -1 if nobody has said
+     * @param most what may wait before somebody takes it, bytes, and a read more; 0: nothing is to be read by then
      * @param pace told whether to read on
      */
-    Flow(long length, Consumer<Boolean> pace) {
+    Flow(long length, int most, Consumer<Boolean> pace) {
         this.length = length;
+        this.most = most;
         this.pace = pace;
-        pace.accept(false);
+        if (most == 0) {
+            pace.accept(false);
+        }
     }
 
     long length() {
@@ -94,7 +100,11 @@
         if (stopped || !piece.isReadable()) {
             piece.release();
         } else if (sink == null) {
+            waitingBytes += piece.readableBytes();
             waiting.add(piece);
+            if (most > 0 && waitingBytes >= most) {
+                pace.accept(false);
+            }
         } else {
             sink.piece(piece);
         }
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -15,7 +15,6 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -52,21 +51,12 @@
  */
 final class Frontend {
     /**
-     * What a client may send ahead of its answers before reading stops: requests, and bytes of bodies. All
-     * clients together may send {@code MOST_HELD} bytes ahead; above that only what is not yet whole is read.
+     * What is held of a client that it sends ahead of its answers, bytes; and of all clients together. Reading goes on
+     * beyond that, since a client's leaving shows behind all that it sent: but that is dropped, and refused in its turn.
      */
-    private static final int MOST_AHEAD = 16;
-    private static final int MOST_AHEAD_BYTES = Framing.MOST_BODY;
+    private static final int MOST_AHEAD_BYTES = 16 * Framing.MOST_BODY;
     private static final int MOST_HELD = 8 * 1024 * 1024;
-    /** One read at most, so that what is decoded after reading has been stopped stays small. */
     private static final int READ_BYTES = 8 * 1024;
-    /**
-     * While reading has stopped, one read now and then tells of a client that left: the next one sooner if this one
-     * brought something, since its leaving stands behind all that it sent. So much is held of one client at most.
-     */
-    private static final long PEEK_MS = 100;
-    private static final long PEEK_ON_MS = 10;
-    private static final int MOST_PEEKED_BYTES = 16 * MOST_AHEAD_BYTES;
     /** What a request that waits takes besides its body, about. */
     private static final int HEAD_BYTES = 1024;
     /**
@@ -112,7 +102,7 @@
     private final LinkedHashSet<Client> flowing = new LinkedHashSet<>();
     private long held;
     private final Standing standing;
-    private Channel server;
+    private ClientChannel.Listener server;
     private boolean sweeping;
     private boolean deaf;
     private long lastReadNanos;
@@ -133,18 +123,19 @@
      * @param door the operators' who may call there too, since it is their address; null if it is not
      */
     ChannelFuture listen(InetSocketAddress address, boolean shared, Calls.Process door) {
-        ServerBootstrap server = bootstrap(door).channel(NioServerSocketChannel.class);
+        ServerBootstrap server = bootstrap(door).channelFactory(() -> new ClientChannel.Listener(null, this::hold));
         if (shared) {
             server.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
         ChannelFuture bound = server.bind(address);
-        this.server = bound.channel();
+        this.server = (ClientChannel.Listener) bound.channel();
         return bound;
     }
 
     /** Accepts on a socket that listens already. */
     void adopt(ServerSocketChannel listening) {
-        server = bootstrap(null).channelFactory(() -> new NioServerSocketChannel(listening)).register().channel();
+        server = (ClientChannel.Listener) bootstrap(null)
+                .channelFactory(() -> new ClientChannel.Listener(listening, this::hold)).register().channel();
     }
 
     private ServerBootstrap bootstrap(Calls.Process door) {
@@ -234,6 +225,10 @@
         }
     }
 
+    private void hold(int bytes) {
+        held += bytes;
+    }
+
     int port() {
         return ((InetSocketAddress) server.localAddress()).getPort();
     }
@@ -247,15 +242,16 @@
         lastAnswerNanos = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(proxy.ending());
         loop.schedule(() -> {
             if (server != null) {
-                server.close();
-            }
+                server.closeAfterAll();
+            }
+            // Not by a timer of its own: what was accepted just now by a loop that had stood still is read first.
+            loop.schedule(() -> {
+                deaf = true;
+                lastReadNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_READ_MS);
+                clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
+                clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
+            }, DRAIN_MS - LISTEN_ON_MS, TimeUnit.MILLISECONDS);
         }, LISTEN_ON_MS, TimeUnit.MILLISECONDS);
-        loop.schedule(() -> {
-            deaf = true;
-            lastReadNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_READ_MS);
-            clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
-            clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
-        }, DRAIN_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Closes at once, the listener and all that it accepted. */
@@ -269,9 +265,11 @@
     /** One connection of the application. */
     final class Client extends SimpleChannelInboundHandler<HttpObject>
             implements Caller<Call, Upstream.Answer> {
-        private final Channel channel;
+        private final ClientChannel channel;
         private final ArrayDeque<Ahead> ahead = new ArrayDeque<>();
         private int aheadBytes;
+        /** What of these is the rest of the open request, until somebody takes it. */
+        private int uploadBytes;
         /** The rest of the open request, and of its answer, while they go on as they come. */
         private Flow upload;
         private Flow download;
@@ -279,14 +277,13 @@
         private HttpRequest head;
         private ByteBuf body;
         private long bodyBytes;
+        /** Too much was sent ahead for it to be held: its body is dropped. */
+        private boolean shed;
         private boolean expects;
         /** Set by what can't be read: nothing after it is. */
         private boolean lost;
         private boolean busy;
         private boolean pumping;
-        private boolean peeking;
-        /** Whether anything came since the last look. */
-        private boolean more;
         private boolean keepAlive;
         private boolean old;
         /** When the connection last made progress: an answer was given or a byte of a request read. */
@@ -295,11 +292,19 @@
         private long startedAt;
         private Core.Exchange<Call, Upstream.Answer> exchange;
 
-        /** A request as read, or what is to be said of one that can't be. */
-        private record Ahead(HttpRequest head, byte[] body, long at, HttpResponseStatus error) {}
+        /** A request as read; or what is to be said of one that can't be, or of so many that were too much. */
+        private record Ahead(HttpRequest head, byte[] body, long at, HttpResponseStatus error, int shed) {
+            static Ahead unreadable(HttpResponseStatus error) {
+                return new Ahead(null, Framing.NO_BYTES, 0, error, 0);
+            }
+
+            static Ahead tooMany(int count) {
+                return new Ahead(null, Framing.NO_BYTES, 0, null, count);
+            }
+        }
 
         Client(Channel channel) {
-            this.channel = channel;
+            this.channel = (ClientChannel) channel;
         }
 
         // ---- reading ---------------------------------------------------------------------------------
@@ -307,7 +312,6 @@
         /** Bytes came, whatever they are. */
         void heard() {
             long now = System.nanoTime();
-            more = true;
             startedAt = startedAt == 0 ? now : startedAt;
             if (quiet.remove(this)) {
                 quietAt = now;
@@ -371,6 +375,7 @@
                 head = request;
                 body = null;
                 bodyBytes = 0;
+                shed = false;
                 goAhead();
             }
         }
@@ -392,13 +397,33 @@
             if (bodyBytes > Flow.MOST) {
                 tooMuch();
             } else if (upload != null) {
+                if (!upload.given()) {
+                    uploadBytes += more.readableBytes();
+                    hold(more.readableBytes());
+                    if (held >= MOST_HELD) {
+                        channel.config().setAutoRead(false);
+                    }
+                }
                 upload.put(more.retain());
-            } else {
+            } else if (!shed) {
                 body = body == null ? Upstream.BUFFERS.buffer(more.readableBytes()) : body;
                 hold(more.readableBytes());
                 body.writeBytes(more);
                 goOn();
+                shedIfTooMuch();
+            }
+        }
+
+        /** Whether the request being read is beyond what is held of one that has to wait for its turn. */
+        private boolean shedIfTooMuch() {
+            if (!shed && busy && upload == null && (aheadBytes >= MOST_AHEAD_BYTES || held >= MOST_HELD)) {
+                shed = true;
+                if (body != null) {
+                    hold(-body.readableBytes());
+                    body = null;
+                }
             }
+            return shed;
         }
 
         /** A body that only shows how large it is as it comes: its request has not come in whole, so none has run. */
@@ -416,18 +441,26 @@
                     && ahead.isEmpty()) {
                 byte[] first = takeBody();
                 hold(-first.length);
-                upload = new Flow(Framing.length(head.headers()), this::readFlow);
+                upload = new Flow(Framing.length(head.headers()), MOST_AHEAD_BYTES, this::readFlow);
                 flowing.add(this);
-                handle(new Ahead(head, first, proxy.now(), null), upload);
+                handle(new Ahead(head, first, proxy.now(), null, 0), upload);
             }
         }
 
-        /** Reading follows whoever takes the body. */
+        /** Reading follows whoever takes the body; until somebody does it goes on up to what is held of one client. */
         private void readFlow(boolean on) {
+            if (upload != null && upload.given()) {
+                uploadTaken();
+            }
             channel.config().setAutoRead(on);
             quietAt = System.nanoTime();
         }
 
+        private void uploadTaken() {
+            hold(-uploadBytes);
+            uploadBytes = 0;
+        }
+
         private byte[] takeBody() {
             byte[] whole = body == null ? Framing.NO_BYTES : new byte[body.readableBytes()];
             if (body != null) {
@@ -475,12 +508,18 @@
                 endUpload();
                 return;
             }
+            boolean tooMany = shedIfTooMuch();
             byte[] whole = takeBody();
             HttpRequest request = head;
             head = null;
             startedAt = 0;
-            hold(HEAD_BYTES);
-            ahead.add(new Ahead(request, whole, proxy.now(), null));
+            if (tooMany) {
+                boolean another = !ahead.isEmpty() && ahead.peekLast().shed() > 0;
+                ahead.add(Ahead.tooMany(another ? ahead.pollLast().shed() + 1 : 1));
+            } else {
+                hold(HEAD_BYTES);
+                ahead.add(new Ahead(request, whole, proxy.now(), null, 0));
+            }
             pump();
         }
 
@@ -488,41 +527,20 @@
         private void unreadable(HttpResponseStatus error) {
             lost = true;
             head = null;
-            ahead.add(new Ahead(null, Framing.NO_BYTES, 0, error));
+            ahead.add(Ahead.unreadable(error));
             pump();
         }
 
         private void hold(int bytes) {
             aheadBytes += bytes;
-            held += bytes;
+            Frontend.this.hold(bytes);
         }
 
-        /**
-         * Reading stops while enough waits. Only a read shows that a client left: one is made at times. Once nothing
-         * more is taken of a client, all that it sends is read and dropped.
-         */
+        /** Once nothing more is taken of a client, all that it sends is read and dropped. */
         private void readOn() {
-            if (upload != null) {
-                return;
-            }
-            lost |= deaf && startedAt == 0;
-            boolean enough = busy && !lost && (ahead.size() >= MOST_AHEAD
-                    || aheadBytes >= MOST_AHEAD_BYTES || held >= MOST_HELD);
-            channel.config().setAutoRead(!enough);
-            if (enough && !peeking) {
-                peeking = true;
-                loop.schedule(this::peek, more ? PEEK_ON_MS : PEEK_MS, TimeUnit.MILLISECONDS);
-                more = false;
-            }
-        }
-
-        private void peek() {
-            peeking = false;
-            if (channel.isActive()) {
-                if (aheadBytes < MOST_PEEKED_BYTES && held < MOST_HELD && upload == null) {
-                    channel.read();
-                }
-                readOn();
+            if (upload == null) {
+                lost |= deaf && startedAt == 0;
+                channel.config().setAutoRead(true);
             }
         }
 
@@ -536,6 +554,9 @@
             pumping = true;
             while (!busy && !ahead.isEmpty() && channel.isActive()) {
                 Ahead next = ahead.poll();
+                if (next.shed() > 1) {
+                    ahead.addFirst(Ahead.tooMany(next.shed() - 1));
+                }
                 hold(next.head() == null ? 0 : -next.body().length - HEAD_BYTES);
                 handle(next, null);
             }
@@ -549,11 +570,13 @@
             busy = true;
             quiet.remove(this);
             HttpRequest in = next.head();
-            keepAlive = in != null && HttpUtil.isKeepAlive(in);
+            keepAlive = in == null ? next.shed() > 0 : HttpUtil.isKeepAlive(in);
             old = in != null && in.protocolVersion().equals(HttpVersion.HTTP_1_0);
             int query = in == null ? -1 : in.uri().indexOf('?');
             String path = in == null ? "" : query < 0 ? in.uri() : in.uri().substring(0, query);
-            if (in == null) {
+            if (next.shed() > 0) {
+                refused(proxy.comeBackUs());
+            } else if (in == null) {
                 answer(next.error());
             } else if (path.equals("/-/ready")) {
                 answer(standing.ready() ? HttpResponseStatus.OK
@@ -571,6 +594,16 @@
             this.exchange = exchange;
         }
 
+        @Override
+        public boolean present() {
+            if (!channel.left()) {
+                return true;
+            }
+            exchange = null;
+            channel.close();
+            return false;
+        }
+
         @Override
         public void served(Upstream.Answer answer) {
             answer(HttpResponseStatus.OK, answer, 0);
@@ -690,6 +723,7 @@
             if (last) {
                 part();
             } else {
+                uploadTaken();
                 busy = false;
                 pump();
             }
@@ -746,7 +780,18 @@
             }
         }
 
+        /** Whether a request has begun to come; one may be here, and only the loop has not come to it. */
+        private boolean asks() {
+            if (startedAt == 0 && channel.unread()) {
+                heard();
+            }
+            return startedAt != 0;
+        }
+
         private void tooLong() {
+            if (!busy && startedAt == 0 && asks()) {
+                return;
+            }
             quiet.remove(this);
             if (head != null && !busy) {
                 busy = true;
@@ -761,7 +806,7 @@
 
         /** Nothing more is read but a request that has begun; what is open has its answer first. */
         private void lastCall() {
-            if (busy || startedAt != 0) {
+            if (busy || asks()) {
                 readOn();
             } else {
                 part();
@@ -773,8 +818,7 @@
             quiet.remove(this);
             parting.remove(this);
             ahead.clear();
-            held -= aheadBytes;
-            aheadBytes = 0;
+            hold(-aheadBytes);
             flowing.remove(this);
             if (upload != null) {
                 upload.end(false);
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -543,7 +543,7 @@
         private void begin() {
             byte[] first = new byte[body.readableBytes()];
             body.readBytes(first);
-            Flow rest = new Flow(stated, on -> channel.config().setAutoRead(on));
+            Flow rest = new Flow(stated, 0, on -> channel.config().setAutoRead(on));
             download = rest;
             Attempt of = current;
             if (!of.begin(new Answer(first, head.headers().get(HttpHeaderNames.CONTENT_TYPE), rest)) && !of.over) {
--- a/src/test/java/mulleinfront/core/CoreTest.java
+++ b/src/test/java/mulleinfront/core/CoreTest.java
@@ -39,6 +39,7 @@
     private Consumer<AttemptEnd> onEnd = e -> { };
     private Actions module;
     private boolean cancels = true;
+    private boolean present = true;
     private Core.Exchange<String, String> exchange;
     private final Core<String, String> core = new Core<>(settings(), time, new ScriptedWire(), defects::add);
 
@@ -188,6 +189,11 @@
                 exchange = x;
             }
 
+            @Override
+            public boolean present() {
+                return present;
+            }
+
             @Override
             public void served(String answer) {
                 log.add("SERVED " + answer);
@@ -482,6 +488,15 @@
         nothingFollows();
     }
 
+    @Test
+    void aCallerThatIsFoundToHaveLeftAsItsAttemptIsWrittenIsGone() {
+        sent(UNSAFE);
+        present = false;
+        attempts.get(0).write();
+        said("gone r", "cancelled r/0@h", "ended 0 CANCELED done");
+        nothingFollows();
+    }
+
     // ---- what holds whatever the module does ---------------------------------------------------------
 
     @Test
--- a/src/test/java/mulleinfront/proxy/ShutdownTest.java
+++ b/src/test/java/mulleinfront/proxy/ShutdownTest.java
@@ -5,10 +5,15 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import mulleinfront.Balancer.Outcome;
+import mulleinfront.Balancer.Request;
 import mulleinfront.proxy.Peers.Client;
 import mulleinfront.proxy.Peers.Deaf;
 import mulleinfront.proxy.Peers.Message;
@@ -191,4 +196,91 @@
         assertEquals(0, out.size(), "nothing more was sent on");
         assertEquals(2, taken.size());
     }
+
+    /** A request that holds the loop up until this is counted down, and is refused then. */
+    private CountDownLatch standStill(Client blocker) throws Exception {
+        CountDownLatch on = new CountDownLatch(1);
+        Consumer<Request> others = module.onRequest;
+        module.onRequest = r -> {
+            if (!r.id().equals("blocker")) {
+                others.accept(r);
+                return;
+            }
+            taken.add(r.id());
+            try {
+                assertTrue(on.await(Peers.PATIENCE_S, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+            module.actions.refuse(r.id(), 0);
+        };
+        blocker.safe("blocker", 20_000);
+        assertEquals("blocker", Peers.next(taken, "the loop's standing still"));
+        return on;
+    }
+
+    private static void until(long at) {
+        while (System.nanoTime() < at) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private long begunDrain() throws Exception {
+        drain();
+        assertEquals("close", client().write("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n").read().header("connection"));
+        return System.nanoTime();
+    }
+
+    @Test
+    void whatWaitsToBeAcceptedAsTheListenerClosesIsServed() throws Exception {
+        // Guards rule 1: the system had accepted it for us, and would reset it, and what was sent there.
+        Server host = host(s -> s.served("x"));
+        start("", Peers.host("s", host.address(), "in_service"));
+        sendAll("s");
+        long begun = begunDrain();
+        Client blocker = client();
+        CountDownLatch on = standStill(blocker);
+        List<Client> waiting = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            waiting.add(client().unsafe("a" + i, 20_000));
+        }
+        until(begun + TimeUnit.MILLISECONDS.toNanos(800));
+        on.countDown();
+        for (Client one : waiting) {
+            lastAnswer(one, 200);
+        }
+        assertEquals(503, blocker.read().status());
+        ends();
+        assertEquals(40, host.seen.size());
+    }
+
+    @Test
+    void whatHasComeAndIsNotReadAtTheLastCallIsServed() throws Exception {
+        // Guards rule 1: what was read and dropped then had come whole before its connection ended.
+        Server host = host(s -> s.served("x"));
+        start("", Peers.host("s", host.address(), "in_service"));
+        sendAll("s");
+        long begun = begunDrain();
+        until(begun + TimeUnit.MILLISECONDS.toNanos(300));
+        List<Client> silent = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            silent.add(client());
+        }
+        Client blocker = client();
+        // Whoever is accepted later is read later: by its answer all these are accepted.
+        assertEquals(404, client().write("GET /other HTTP/1.1\r\nHost: h\r\n\r\n").read().status());
+        until(begun + TimeUnit.MILLISECONDS.toNanos(520));
+        CountDownLatch on = standStill(blocker);
+        for (int i = 0; i < 10; i++) {
+            silent.get(i).unsafe("a" + i, 20_000);
+        }
+        until(begun + TimeUnit.MILLISECONDS.toNanos(900));
+        on.countDown();
+        for (Client one : silent) {
+            lastAnswer(one, 200);
+        }
+        assertEquals(503, blocker.read().status());
+        ends();
+        assertEquals(10, host.seen.size());
+    }
 }
