A body that waits for its host tells what is left, and nothing goes out after its time

Need: an attempt tells its host at most what is left to the client, as it is written. Seen in the code: for a body that goes on as it comes Call.encode told the client's whole deadline also once the last byte had come and time ran; and Upstream.write, when the loop had stood still in the turn in which a connection came up, wrote an attempt whose time was over (timers run behind the sockets' turn), told 1 ms. Otherwise what is left was taken at the moment of writing already, for first and further attempts.

TimeToldTest: the body's and the one past its time fail without it (seen: told 20000 after 400 ms; TIMED_OUT of an attempt that was written); a first and a further attempt whose connection comes up late held before.

--- a/src/main/java/mulleinfront/proxy/Call.java
+++ b/src/main/java/mulleinfront/proxy/Call.java
@@ -76,6 +76,8 @@
     /**
      * The whole request in one buffer, so that its write either reaches the last byte or surely did not: an
      * encoder's head and body apart could end between the two. Of one that still comes, its beginning.
+     *
+     * @param leftMs what is left to the client; of one that still comes all of its time may be
      */
     ByteBuf encode(long leftMs) {
         if (rest == null) {
@@ -84,7 +86,7 @@
             return Framing.whole(head, more, body);
         }
         boolean chunked = rest.length() < 0;
-        String more = "X-Deadline-Ms: " + deadlineMs + (chunked ? "\r\nTransfer-Encoding: chunked\r\n\r\n"
+        String more = "X-Deadline-Ms: " + Math.min(leftMs, deadlineMs) + (chunked ? "\r\nTransfer-Encoding: chunked\r\n\r\n"
                 : "\r\nContent-Length: " + rest.length() + "\r\n\r\n");
         ByteBuf begun = Framing.whole(head, more, Framing.NO_BYTES);
         ByteBuf first = Unpooled.wrappedBuffer(body);
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -289,8 +289,14 @@
                 }
                 return;
             }
+            long left = timer == null ? Long.MAX_VALUE : endNanos - System.nanoTime();
+            if (left <= 0) {
+                // The loop had stood still: its timer is due too, and only behind this in the turn.
+                abandon(Outcome.TIMED_OUT);
+                return;
+            }
             c.current = this;
-            long leftMs = Math.max(1, (endNanos - System.nanoTime()) / 1_000_000);
+            long leftMs = Math.max(1, left / 1_000_000);
             writtenAt = System.nanoTime();
             ChannelFuture first = c.channel.writeAndFlush(call.encode(leftMs));
             written = call.rest() == null ? first : c.channel.newPromise();
--- a/src/test/java/mulleinfront/proxy/Peers.java
+++ b/src/test/java/mulleinfront/proxy/Peers.java
@@ -321,6 +321,10 @@
             last.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
+        Message readHead() throws IOException {
+            return Peers.readHead(in());
+        }
+
         boolean silent() throws Exception {
             last.setSoTimeout((int) Peers.PATIENCE_S * 1000);
             return last.getInputStream().read() < 0;
