--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -238,6 +238,11 @@
                 finish(Outcome.CONNECT_ERROR, null);
                 return;
             }
+            if (!host.ready) {
+                // A connection costs it something too, and nothing would be written there.
+                finish(Outcome.IGNORED, null);
+                return;
+            }
             if (open.size() >= mostConnections && !idle.isEmpty()) {
                 idle.iterator().next().close();
             }
