--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -238,6 +238,11 @@
                 finish(Outcome.CONNECT_ERROR, null);
                 return;
             }
+            if (!host.ready) {
+                // A connection costs it something too, and nothing would be written there.
+                finish(Outcome.IGNORED, null);
+                return;
+            }
             if (open.size() >= mostConnections && !idle.isEmpty()) {
                 idle.iterator().next().close();
             }
@@ -289,8 +294,14 @@
                 }
                 return;
             }
+            long left = timer == null ? Long.MAX_VALUE : endNanos - System.nanoTime();
+            if (left <= 0) {
+                // The loop had stood still: its timer is due too, and only behind this in the turn.
+                abandon(Outcome.TIMED_OUT);
+                return;
+            }
             c.current = this;
-            long leftMs = Math.max(1, (endNanos - System.nanoTime()) / 1_000_000);
+            long leftMs = Math.max(1, left / 1_000_000);
             writtenAt = System.nanoTime();
             ChannelFuture first = c.channel.writeAndFlush(call.encode(leftMs));
             written = call.rest() == null ? first : c.channel.newPromise();
@@ -543,7 +554,7 @@
         private void begin() {
             byte[] first = new byte[body.readableBytes()];
             body.readBytes(first);
-            Flow rest = new Flow(stated, on -> channel.config().setAutoRead(on));
+            Flow rest = new Flow(stated, 0, on -> channel.config().setAutoRead(on));
             download = rest;
             Attempt of = current;
             if (!of.begin(new Answer(first, head.headers().get(HttpHeaderNames.CONTENT_TYPE), rest)) && !of.over) {
