kit scale: three control machines between the sides, versions through kills, cuts, restarts

Need: time from proposed to in force at the size on sockets, and what control costs with the configuration's watch, had no test: kit scale had lists and membership alone.

Three `keep` processes stand on the two sides of the cut, consensus and doors each behind the relay; real and hollow ones follow them. Versions are proposed at rest, while a fifth is away, across a cut, through a restart in tenths, with a control machine killed and back, and one a second; when each is in force at whom is read from the machines' event logs. None may go back; what readers say is not judged for that while a cut heals, since their old words come late then (seen: a word of version 21 that had stood in the cut, after one of 29).

The test plays all of it with 3 real and 30 hollow ones.

--- a/src/main/java/mulleinfront/cli/HollowCommand.java
+++ b/src/main/java/mulleinfront/cli/HollowCommand.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import mulleinfront.proxy.Hollow;
+import mulleinfront.settings.ControlFile;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -17,6 +18,9 @@
     @Option(names = "--loops", defaultValue = "2", description = "event loops that they share")
     private int loops;
 
+    @Option(names = "--config-watch", paramLabel = "FILE", description = "where the fleet's configuration is watched")
+    private Path control;
+
     @Override
     public Integer call() throws Exception {
         String list = System.getenv("NODE_CONFIG");
@@ -24,7 +28,7 @@
             throw new IOException("NODE_CONFIG is not set");
         }
         List<Path> files = Files.readAllLines(Path.of(list)).stream().filter(l -> !l.isBlank()).map(Path::of).toList();
-        Hollow all = Hollow.start(files, loops);
+        Hollow all = Hollow.start(files, loops, control == null ? null : ControlFile.load(control));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             try {
                 all.leave();
--- a/src/main/java/mulleinfront/cli/ScaleCommand.java
+++ b/src/main/java/mulleinfront/cli/ScaleCommand.java
@@ -39,6 +39,10 @@
             + " (default ${DEFAULT-VALUE})")
     private int perProcess;
 
+    @Option(names = "--machines", paramLabel = "M", defaultValue = "3", description = "control machines, 3 or 0 (default"
+            + " ${DEFAULT-VALUE})")
+    private int machines;
+
     @Option(names = "--rest", paramLabel = "S", defaultValue = "20", description = "seconds at rest (default"
             + " ${DEFAULT-VALUE})")
     private int restS;
@@ -77,13 +81,16 @@
     public Integer call() throws IOException, InterruptedException, BadFileException {
         ScaleRun.Plan plan;
         try {
-            plan = new ScaleRun.Plan(real, hollow, perProcess, seed, restS, cutS, periodMs,
+            if (machines != 0 && machines != 3) {
+                throw new IllegalArgumentException("--machines: 3 or 0");
+            }
+            plan = new ScaleRun.Plan(real, hollow, perProcess, seed, restS, cutS, periodMs, machines > 0,
                     calm ? EnumSet.noneOf(ScaleRun.Fault.class) : faults);
         } catch (IllegalArgumentException e) {
             throw new BadFileException("kit scale: " + e.getMessage());
         }
         Path to = folder != null ? folder : Files.createTempDirectory("scale");
-        ScaleReport report = new ScaleRun(plan, world, Kit.command(daemon), Kit.java("-Xmx256m") + " hollow",
+        ScaleReport report = new ScaleRun(plan, world, Kit.command(daemon), Kit.java("-Xmx256m"),
                 Path.of("").toAbsolutePath(), to, line -> spec.commandLine().getErr().println("kit scale: " + line)).play();
         spec.commandLine().getOut().print(report.text());
         spec.commandLine().getOut().flush();
--- a/src/main/java/mulleinfront/proxy/Hollow.java
+++ b/src/main/java/mulleinfront/proxy/Hollow.java
@@ -10,12 +10,13 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import mulleinfront.settings.Config;
+import mulleinfront.settings.ControlFile;
 import mulleinfront.settings.FleetFile;
 
 /**
  * Hollow client proxies: many in one process, for tests at the size of a whole fleet. Each runs the real control code on
  * real sockets at addresses of its own: its watch of discovery and the module that takes the lists, its membership of
- * the fleet, its door for clients and hosts. What it leaves out: a JVM of its own, the rehearsal of its code before it
+ * the fleet, its watch of the fleet's configuration, its door for clients and hosts. What it leaves out: a JVM of its own, the rehearsal of its code before it
  * is ready, the drain at its end, the operators' door, and, since nobody calls, the data path's load.
  */
 public final class Hollow {
@@ -34,17 +35,22 @@
      *
      * @param files configurations, each as {@code NODE_CONFIG} has one
      * @param loops event loops that they share
+     * @param control where the fleet's configuration is watched; null: it is not
      * @throws IOException if one can't be read or taken, or an address can't be had
      */
-    public static Hollow start(List<Path> files, int loops) throws Exception {
+    public static Hollow start(List<Path> files, int loops, ControlFile control) throws Exception {
         Hollow all = new Hollow(loops);
         try {
             for (Path file : files) {
                 Config config = Config.load(file.toString());
                 ClientProxy proxy = ClientProxy.hollow(config, all.group);
                 all.proxies.add(proxy);
+                byte[] json = Files.readAllBytes(file);
                 if (config.fleet() != null) {
-                    proxy.join(FleetFile.load(Path.of(config.fleet()), Files.readAllBytes(file)));
+                    proxy.join(FleetFile.load(Path.of(config.fleet()), json));
+                }
+                if (control != null) {
+                    proxy.follow(control, FleetFile.name(json), List.of(proxy));
                 }
             }
             return all;
