--- a/src/test/java/mulleinfront/core/CoreTest.java
+++ b/src/test/java/mulleinfront/core/CoreTest.java
@@ -28,6 +28,7 @@
 class CoreTest {
     private static final int SAFE = 0;
     private static final int UNSAFE = 1;
+    private static final int KEYED = 2;
     private static final int SOON = 3;
     private static final long MS = 1_000;
 
@@ -513,6 +514,24 @@
         nothingFollows();
     }
 
+    @Test
+    void theWordAtTheEndOfItsTimeIsTrueAfterEveryOutcome() {
+        for (int type : List.of(SAFE, UNSAFE, KEYED)) {
+            for (Outcome outcome : List.of(Outcome.FAILED, Outcome.QUEUE_FULL, Outcome.TIMED_OUT,
+                    Outcome.CONNECT_ERROR, Outcome.RESET, Outcome.CANCELED, Outcome.IGNORED)) {
+                boolean mayHaveRun = outcome == Outcome.FAILED || outcome == Outcome.TIMED_OUT
+                        || outcome == Outcome.RESET || outcome == Outcome.CANCELED;
+                sent(type);
+                attempts.get(attempts.size() - 1).end(outcome);
+                said("ended 0 " + outcome);
+                log.clear();
+                time.runUntil(time.now() + 975 * MS);
+                said(mayHaveRun && type != SAFE ? "FAILED time up" : "REFUSED 2000000", "gone r");
+                nothingFollows();
+            }
+        }
+    }
+
     @Test
     void oneAttemptIsOutAtATimeAndNoMoreThanTheLimit() {
         onRequest = r -> {
