An answer that stalls when its client's time is up is cut off, not left open for ten seconds

Need: a request with no final answer half a second after its time is lost. Read were all paths on which a request's timer may not tell its client in time: the guard, the drain's end, requests in a queue, bodies being read. One was left: once an answer has begun to be passed on its timer is gone (Core.over), and Frontend ended one that stalled after 10 s only; for a client of HTTP/1.0 by a plain end, which is the end of the answer. Now one of which nothing has moved for 0.3 s when its client's time is up is cut off by a reset, so that it has failed and the client can tell. One that goes on moving is left alone, as before.

BodiesTest.anAnswerThatStallsWhenItsClientsTimeIsUpIsCutOff fails without it (seen: after 10 s, and no reset).

--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -276,6 +276,11 @@
         run(() -> balancer.onRequest(time.now(), x.request));
     }
 
+    /** When the time of a request's client is up, microseconds on the core's clock, whatever has begun of its answer. */
+    public long timeOf(Exchange<Q, A> x) {
+        return x.guardAt;
+    }
+
     /** The last byte of a request has been read: now its time begins. */
     public void whole(Exchange<Q, A> x) {
         if (!x.reading || x.answered) {
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -529,6 +529,11 @@
         return left;
     }
 
+    /** When the time of a request's client is up, microseconds on the clock of {@link #now}. */
+    long timeOf(Core.Exchange<Call, Upstream.Answer> x) {
+        return core.timeOf(x);
+    }
+
     /** When whoever is refused for what it sent ahead may come again, microseconds; 0: no advice. */
     long comeBackUs() {
         return config.settings().limits().maxRetryAfterUs();
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -81,6 +81,8 @@
     private static final long HEAD_MS = 2_600;
     /** A body or an answer that goes on while it comes ends when nothing of it has moved for this long. */
     private static final long STALLED_MS = 10_000;
+    /** The same of an answer whose client's time is up: half a second after that it is lost, and a cut tells it before. */
+    private static final long LATE_STALLED_MS = 300;
     /**
      * How long what a client still sends is read and dropped after its last answer: closing over it would reset the
      * connection, and the answer with it. At the end of the process there is less time for that.
@@ -273,6 +275,8 @@
         /** The rest of the open request, and of its answer, while they go on as they come. */
         private Flow upload;
         private Flow download;
+        /** When its client's time is up, microseconds on the proxy's clock. */
+        private long downloadDue;
         /** The request being read, its body so far, and whether the client waits to be told to send it. */
         private HttpRequest head;
         private ByteBuf body;
@@ -498,6 +502,8 @@
             long still = TimeUnit.NANOSECONDS.toMillis(now - quietAt);
             if (upload != null && download == null && channel.config().isAutoRead() && still > QUIET_MS) {
                 giveUp(HttpResponseStatus.REQUEST_TIMEOUT);
+            } else if (download != null && still > LATE_STALLED_MS && proxy.now() > downloadDue) {
+                cutOff();
             } else if (still > STALLED_MS) {
                 channel.close();
             }
@@ -617,6 +623,7 @@
             boolean untilClose = answer.rest().length() < 0 && old;
             Flow rest = answer.rest();
             download = rest;
+            downloadDue = proxy.timeOf(exchange);
             flowing.add(this);
             quietAt = System.nanoTime();
             ByteBuf first = Unpooled.wrappedBuffer(answer.body());
--- a/src/test/java/mulleinfront/proxy/BodiesTest.java
+++ b/src/test/java/mulleinfront/proxy/BodiesTest.java
@@ -12,6 +12,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
@@ -337,4 +338,26 @@
         assertEquals(413, client.read().status());
         assertEquals(0, host.seen.size(), "it never came in whole");
     }
+
+    @Test
+    void anAnswerThatStallsWhenItsClientsTimeIsUpIsCutOff() throws Exception {
+        // Guards rule 1: who is told nothing half a second after its time has lost its request.
+        serving(s -> s.write("HTTP/1.1 200 OK\r\n" + (s.message().header("x-request-id").equals("chunks")
+                ? "Transfer-Encoding: chunked\r\n\r\n5\r\nbegun" : "Connection: close\r\n\r\nbegun")));
+        Client later = client().safe("later", 20_000);
+        later.readHead();
+        assertEquals("begun", new String(Peers.readChunk(later.in)));
+        Client chunked = client().safe("chunks", 500);
+        chunked.readHead();
+        assertEquals("begun", new String(Peers.readChunk(chunked.in)));
+        Client old = client().write("GET /api HTTP/1.0\r\nX-Request-Id: old\r\nX-Class: safe\r\n"
+                + "X-Deadline-Ms: 500\r\n\r\n");
+        old.readHead();
+        assertEquals("begun", new String(old.in.readNBytes(5)));
+        assertThrows(IOException.class, () -> Peers.readChunk(chunked.in), "not whole");
+        assertThrows(IOException.class, old.in::read, "nor this: a mere end would be the end of the answer");
+        assertEquals(0, later.in.available());
+        later.socket.setSoTimeout(100);
+        assertThrows(SocketTimeoutException.class, later.in::read, "whose time is not up may go on");
+    }
 }
