--- a/src/main/java/mulleinfront/keep/DiskLog.java
+++ b/src/main/java/mulleinfront/keep/DiskLog.java
@@ -1,12 +1,9 @@
 package mulleinfront.keep;
 
 import io.microraft.RaftEndpoint;
-import io.microraft.model.RaftModelFactory;
-import io.microraft.model.impl.DefaultRaftModelFactory;
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
-import io.microraft.model.log.SnapshotEntry;
 import io.microraft.model.persistence.RaftEndpointPersistentState;
 import io.microraft.model.persistence.RaftTermPersistentState;
 import io.microraft.persistence.RestoredRaftState;
@@ -20,6 +17,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.zip.CRC32C;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
@@ -46,7 +44,6 @@
 
     /** Saves between two goes at making the file smaller. */
     private static final int SAVES_A_COMPACTION = 128;
-    private static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
 
     private final Path file;
     private final MVStore store;
@@ -55,7 +52,8 @@
     /** By snapshot's index and chunk's, see {@link #chunkKey}. */
     private final MVMap<Long, byte[]> chunks;
     private final Mark mark;
-    private final RestoredRaftState restored;
+    private final String name;
+    private final Collection<String> keepers;
     private long saves;
     private long committed;
     private IOException fault;
@@ -68,6 +66,8 @@
      * @throws IOException one line with the file, if it can't be read whole, or is not that keeper's
      */
     DiskLog(Path directory, String name, Collection<String> keepers) throws IOException {
+        this.name = name;
+        this.keepers = Set.copyOf(keepers);
         Files.createDirectories(directory);
         file = directory.resolve(STORE);
         boolean found = Files.exists(file);
@@ -93,7 +93,7 @@
                         + ": it was cut, or an older copy was put back");
             }
             committed = number("committed");
-            restored = restore(name, keepers);
+            restore();
         } catch (MVStoreException | IllegalArgumentException e) {
             if (opened != null) {
                 opened.closeImmediately();
@@ -114,7 +114,7 @@
 
     // ---- at the start
 
-    private RestoredRaftState restore(String name, Collection<String> keepers) {
+    private RestoredRaftState restore() {
         byte[] endpoint = value(state, "endpoint");
         byte[] members = value(state, "members");
         if (endpoint == null || members == null) {
@@ -131,62 +131,31 @@
         RaftGroupMembersView initial = Codec.members(members);
         Set<String> known = new HashSet<>();
         initial.getMembers().forEach(m -> known.add((String) m.getId()));
-        if (!known.equals(new HashSet<>(keepers))) {
+        if (!known.equals(keepers)) {
             throw new IllegalArgumentException("was made for keepers " + known + ", the settings name "
                     + keepers);
         }
-        SnapshotEntry snapshot = newestSnapshot();
-        long last = snapshot == null ? 0 : snapshot.getIndex();
-        List<LogEntry> entries = new ArrayList<>();
-        for (Long index = log.ceilingKey(last + 1); index != null; index = log.higherKey(index)) {
-            if (index != last + 1) {
-                throw new IllegalArgumentException("has log entry " + index + " after " + last);
-            }
-            LogEntry entry = Codec.entry(value(log, index));
-            if (entry.getIndex() != index) {
-                throw new IllegalArgumentException("has log entry " + entry.getIndex() + " as " + index);
-            }
-            entries.add(entry);
-            last = index;
-        }
-        if (last < committed) {
-            throw new IllegalArgumentException("ends at entry " + last + ", but " + committed
-                    + " was decided");
-        }
         byte[] vote = value(state, "vote");
-        return new RestoredRaftState(
-                MODEL.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(new Member(name))
-                        .setVoting(true).build(),
-                initial,
-                MODEL.createRaftTermPersistentStateBuilder().setTerm((int) number("term"))
-                        .setVotedFor(vote == null ? null : new Member(new String(vote,
-                                StandardCharsets.UTF_8)))
-                        .build(),
-                snapshot, entries);
+        TreeMap<Long, LogEntry> entries = new TreeMap<>();
+        for (Long index : log.keySet()) {
+            entries.put(index, Codec.entry(value(log, index)));
+        }
+        return Recovery.restore(name, initial, (int) number("term"),
+                vote == null ? null : new String(vote, StandardCharsets.UTF_8), snapshots(), number("taken"),
+                entries, committed);
     }
 
-    /** The newest snapshot of which all chunks are there, or null. */
-    private SnapshotEntry newestSnapshot() {
-        for (Long key = chunks.lastKey(); key != null;) {
-            long index = key >> 16;
-            List<SnapshotChunk> all = new ArrayList<>();
-            for (Long k = chunks.ceilingKey(index << 16); k != null
-                    && k >> 16 == index; k = chunks.higherKey(k)) {
-                all.add(Codec.chunk(value(chunks, k)));
-            }
-            SnapshotChunk first = all.get(0);
-            if (all.size() == first.getSnapshotChunkCount()) {
-                return MODEL.createSnapshotEntryBuilder().setIndex(first.getIndex()).setTerm(first.getTerm())
-                        .setSnapshotChunks(all).setGroupMembersView(first.getGroupMembersView()).build();
-            }
-            key = chunks.lowerKey(index << 16);
+    private TreeMap<Long, List<SnapshotChunk>> snapshots() {
+        TreeMap<Long, List<SnapshotChunk>> snapshots = new TreeMap<>();
+        for (Long key : chunks.keySet()) {
+            snapshots.computeIfAbsent(key >> 16, i -> new ArrayList<>()).add(Codec.chunk(value(chunks, key)));
         }
-        return null;
+        return snapshots;
     }
 
     @Override
     public RestoredRaftState restored() {
-        return restored;
+        return restore();
     }
 
     @Override
@@ -335,17 +304,21 @@
     @Override
     public void truncateLogEntriesUntil(long index) throws IOException {
         write(() -> {
-            for (Long i = log.floorKey(index); i != null; i = log.floorKey(index)) {
+            long begin = Recovery.begin(Recovery.whole(snapshots()), number("taken"));
+            for (Long i = log.floorKey(begin); i != null; i = log.floorKey(begin)) {
                 log.remove(i);
             }
-            SnapshotEntry newest = newestSnapshot();
-            long until = newest == null ? 0 : newest.getIndex() << 16;
-            for (Long k = chunks.lowerKey(until); k != null; k = chunks.lowerKey(until)) {
+            for (Long k = chunks.lowerKey(begin << 16); k != null; k = chunks.lowerKey(begin << 16)) {
                 chunks.remove(k);
             }
         });
     }
 
+    @Override
+    public void taking(long index) throws IOException {
+        write(() -> put(state, "taken", index));
+    }
+
     @Override
     public void deleteSnapshotChunks(long index, int count) throws IOException {
         write(() -> {
--- a/src/main/java/mulleinfront/keep/Keeper.java
+++ b/src/main/java/mulleinfront/keep/Keeper.java
@@ -4,10 +4,13 @@
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
 import io.microraft.executor.RaftNodeExecutor;
+import io.microraft.model.RaftModelFactory;
+import io.microraft.model.impl.DefaultRaftModelFactory;
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
 import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.message.RaftMessage;
 import io.microraft.model.persistence.RaftEndpointPersistentState;
 import io.microraft.model.persistence.RaftTermPersistentState;
@@ -16,6 +19,7 @@
 import io.microraft.statemachine.StateMachine;
 import io.microraft.transport.Transport;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.time.Clock;
 import java.time.Instant;
 import java.time.ZoneId;
@@ -24,6 +28,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import mulleinfront.config.Ledger;
@@ -46,26 +51,29 @@
     private static final long AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     /** Proposals that wait for an answer here at most. */
     private static final int MOST_OPEN = 64;
-    /** Entries after which the library makes a snapshot and drops the log before it. */
-    static final int SNAPSHOT_ENTRIES = 64;
-
-    private static final RaftConfig CONFIG = RaftConfig.newBuilder()
-            .setLeaderHeartbeatPeriodSecs(1)
-            .setLeaderHeartbeatTimeoutSecs(PACE)
-            .setLeaderElectionTimeoutMillis(300 * PACE)
-            .setAppendEntriesRequestBatchSize(8)
-            .setCommitCountToTakeSnapshot(SNAPSHOT_ENTRIES)
-            .setMaxPendingLogEntryCount(64)
-            // A register's parts are the same everywhere only at the same entry; the leader alone sends them.
-            .setTransferSnapshotsFromFollowersEnabled(false)
-            .setRaftNodeReportPublishPeriodSecs(3600)
-            .build();
+    /** Proposals in the log that aren't decided at most, while this keeper leads. */
+    private static final int MOST_REPLICATING = 128;
+    /**
+     * Entries after which the library makes a snapshot and drops the log before it, but for a tenth of as
+     * many: more than a request holds, since an answer may be lost.
+     */
+    static final int SNAPSHOT_ENTRIES = 128;
+
+    private static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
 
     private final String name;
     private final Timers timers;
     private final KeepLog log;
     private final Peers peers;
-    private final RaftNode node;
+    private final Collection<String> members;
+    private final Random random;
+    private final int snapshotEntries;
+    private RaftNode node;
+    /** Counts the library's nodes made here; tasks of an earlier one are dropped. */
+    private int generation;
+    /** The snapshot at which the library's log begins, and the terms of the entries it has from there on. */
+    private long snapshotIndex;
+    private final TreeMap<Long, Integer> terms = new TreeMap<>();
     private final List<Consumer<Version>> listeners = new ArrayList<>();
     /** What the library has applied so far; at a start it begins at the snapshot again. */
     private Register applied = new Register();
@@ -74,6 +82,7 @@
     /** The newest version that is decided and durable here: what owners and listeners know. */
     private Version newest = Version.NONE;
     private int open;
+    private int replicating;
     private String fault;
     private boolean started;
     /** Whether the library's tasks run at once, so that its end is over when it returns. */
@@ -82,32 +91,70 @@
     /**
      * @param keepers names of all keepers, this one among them
      * @param random decides whose election comes first
+     * @param snapshotEntries entries between two snapshots, {@link #SNAPSHOT_ENTRIES} but in tests
      * @throws IOException one line, if what was restored can't be read
      */
-    Keeper(String name, Collection<String> keepers, Timers timers, Random random, KeepLog log, Peers peers)
-            throws IOException {
+    Keeper(String name, Collection<String> keepers, Timers timers, Random random, KeepLog log, Peers peers,
+            int snapshotEntries) throws IOException {
         this.name = name;
+        this.snapshotEntries = snapshotEntries;
         this.timers = timers;
         this.log = log;
         this.peers = peers;
-        RestoredRaftState restored = log.restored();
+        this.members = List.copyOf(keepers);
+        this.random = random;
+        build();
+        newest = register().newest();
+    }
+
+    /**
+     * Makes the library's node out of what is in the log; the one before, if any, is heard no more.
+     *
+     * @throws IOException one line, if what was restored can't be read
+     */
+    private void build() throws IOException {
+        generation++;
+        applied = new Register();
+        terms.clear();
+        snapshotIndex = 0;
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(Codec.GROUP);
-        if (restored == null) {
-            List<RaftEndpoint> members = new ArrayList<>();
-            keepers.forEach(k -> members.add(new Member(k)));
-            builder.setLocalEndpoint(new Member(name)).setInitialGroupMembers(members);
-        } else {
-            try {
+        try {
+            RestoredRaftState restored = log.restored();
+            if (restored == null) {
+                List<RaftEndpoint> endpoints = new ArrayList<>();
+                members.forEach(m -> endpoints.add(new Member(m)));
+                builder.setLocalEndpoint(new Member(name)).setInitialGroupMembers(endpoints);
+            } else {
                 before = decidedBefore(restored, log.committed());
-            } catch (IllegalArgumentException e) {
-                throw new IOException("keeper " + name + ": its snapshot can't be read: " + e.getMessage(),
-                        e);
+                snapshotIndex = restored.getSnapshotEntry() == null ? 0 : restored.getSnapshotEntry()
+                        .getIndex();
+                restored.getLogEntries().forEach(e -> terms.put(e.getIndex(), e.getTerm()));
+                builder.setRestoredState(restored);
             }
-            newest = before.newest();
-            builder.setRestoredState(restored);
+        } catch (IllegalArgumentException e) {
+            throw new IOException("keeper " + name + ": its log can't be read: " + e.getMessage(), e);
         }
-        node = builder.setConfig(CONFIG).setExecutor(new Paced()).setClock(new PacedClock()).setRandom(random)
-                .setTransport(new Sending()).setStateMachine(new Applying()).setStore(new Guarded()).build();
+        node = builder.setConfig(config(snapshotEntries)).setExecutor(new Paced(generation))
+                .setClock(new PacedClock())
+                .setRandom(random).setTransport(new Sending()).setStateMachine(new Applying())
+                .setStore(new Guarded()).build();
+    }
+
+    private static RaftConfig config(int snapshotEntries) {
+        return RaftConfig.newBuilder()
+                .setLeaderHeartbeatPeriodSecs(1)
+                .setLeaderHeartbeatTimeoutSecs(PACE)
+                .setLeaderElectionTimeoutMillis(300 * PACE)
+                .setAppendEntriesRequestBatchSize(8)
+                .setCommitCountToTakeSnapshot(snapshotEntries)
+                // Room in memory for all that a start may bring back: two snapshots' entries, and those not
+                // decided.
+                .setMaxPendingLogEntryCount(2 * snapshotEntries + 2 * MOST_REPLICATING)
+                // A register's parts are the same everywhere only at the same entry; the leader alone sends
+                // them.
+                .setTransferSnapshotsFromFollowersEnabled(false)
+                .setRaftNodeReportPublishPeriodSecs(3600)
+                .build();
     }
 
     /** The register as it was when this keeper last told its owner of a decision. */
@@ -158,7 +205,57 @@
     /** A message from another keeper. */
     void handle(RaftMessage message) {
         if (started && fault == null) {
-            node.handle(message);
+            node.handle(message instanceof AppendEntriesRequest request ? fitted(request) : message);
+        }
+    }
+
+    /**
+     * The same request, where the library would take it wrongly.
+     *
+     * <p>It holds a request's commit index against its own before it bounds it by the request's last entry,
+     * and so goes back by a request that comes late: bounded here, as Raft has it (min(leaderCommit, index of
+     * last new entry)).
+     *
+     * <p>It knows no entry at or before its snapshot, and refuses a request that builds on one if it has
+     * entries after. If the answer to those was lost, its leader asks the same for ever. What is decided is
+     * the same in both: the request is begun at the first entry after the snapshot. If that is another one
+     * here, ours and all after are no leader's any more and go, which the library would do if it had come so
+     * far.
+     */
+    private RaftMessage fitted(AppendEntriesRequest request) {
+        long previous = request.getPreviousLogIndex();
+        int previousTerm = request.getPreviousLogTerm();
+        List<LogEntry> entries = request.getLogEntries();
+        long last = previous + entries.size();
+        long first = snapshotIndex + 1;
+        if (request.getTerm() >= node.getTerm().getTerm() && previous < first && last >= first
+                && terms.containsKey(first)) {
+            int skipped = (int) (first - previous);
+            int term = entries.get(skipped - 1).getTerm();
+            if (terms.get(first) == term) {
+                previous = first;
+                previousTerm = term;
+                entries = entries.subList(skipped, entries.size());
+            } else {
+                cut(first);
+            }
+        }
+        return MODEL.createAppendEntriesRequestBuilder().setGroupId(request.getGroupId())
+                .setSender(request.getSender()).setTerm(request.getTerm()).setPreviousLogTerm(previousTerm)
+                .setPreviousLogIndex(previous).setCommitIndex(Math.min(request.getCommitIndex(), last))
+                .setLogEntries(entries).setQuerySequenceNumber(request.getQuerySequenceNumber())
+                .setFlowControlSequenceNumber(request.getFlowControlSequenceNumber()).build();
+    }
+
+    /** Drops the log from an entry on, none of which is decided, and goes on as after a restart. */
+    private void cut(long index) {
+        try {
+            log.truncateLogEntriesFrom(index);
+            log.flush();
+            build();
+            node.start();
+        } catch (IOException e) {
+            stop(e.getMessage());
         }
     }
 
@@ -240,8 +337,15 @@
 
     /** @param result called once, or never: what was decided, or null if that isn't known */
     private void replicate(Proposal proposal, Consumer<Answer> result) {
-        node.<Answer>replicate(new Operation.Change(proposal)).whenComplete((done, failure) ->
-                result.accept(failure == null && fault == null ? done.getResult() : null));
+        if (replicating >= MOST_REPLICATING) {
+            result.accept(null);
+            return;
+        }
+        replicating++;
+        node.<Answer>replicate(new Operation.Change(proposal)).whenComplete((done, failure) -> {
+            replicating--;
+            result.accept(failure == null && fault == null ? done.getResult() : null);
+        });
     }
 
     /**
@@ -338,11 +442,21 @@
 
         @Override
         public void takeSnapshot(long index, Consumer<Object> parts) {
+            try {
+                log.taking(index);
+            } catch (IOException e) {
+                stop(e.getMessage());
+                throw new UncheckedIOException(e);
+            }
+            snapshotIndex = index;
+            terms.headMap(index, true).clear();
             applied.save().forEach(part -> parts.accept(new Operation.Part(part)));
         }
 
         @Override
         public void installSnapshot(long index, List<Object> parts) {
+            snapshotIndex = index;
+            terms.headMap(index, true).clear();
             List<byte[]> bytes = new ArrayList<>();
             parts.forEach(p -> bytes.add(((Operation.Part) p).bytes()));
             try {
@@ -397,6 +511,7 @@
         @Override
         public void persistLogEntries(List<LogEntry> entries) throws IOException {
             guard(() -> log.persistLogEntries(entries));
+            entries.forEach(e -> terms.put(e.getIndex(), e.getTerm()));
         }
 
         @Override
@@ -407,6 +522,7 @@
         @Override
         public void truncateLogEntriesFrom(long index) throws IOException {
             guard(() -> log.truncateLogEntriesFrom(index));
+            terms.tailMap(index, true).clear();
         }
 
         @Override
@@ -440,23 +556,37 @@
     }
 
     private final class Paced implements RaftNodeExecutor {
+        private final int mine;
+
+        Paced(int mine) {
+            this.mine = mine;
+        }
+
         @Override
         public void execute(Runnable task) {
             if (closing) {
                 task.run();
             } else {
-                timers.execute(task);
+                timers.execute(only(task));
             }
         }
 
         @Override
         public void submit(Runnable task) {
-            timers.execute(task);
+            timers.execute(only(task));
         }
 
         @Override
         public void schedule(Runnable task, long delay, TimeUnit unit) {
-            timers.schedule(task, unit.toNanos(delay) / PACE);
+            timers.schedule(only(task), unit.toNanos(delay) / PACE);
+        }
+
+        private Runnable only(Runnable task) {
+            return () -> {
+                if (mine == generation) {
+                    task.run();
+                }
+            };
         }
     }
 
--- a/src/main/java/mulleinfront/keep/KeeperNode.java
+++ b/src/main/java/mulleinfront/keep/KeeperNode.java
@@ -32,7 +32,7 @@
         try {
             wire = new KeeperWire(settings, loop, log);
             keeper = new Keeper(settings.name(), settings.keepers().keySet(), timers(loop), new Random(), log,
-                    wire);
+                    wire, Keeper.SNAPSHOT_ENTRIES);
             wire.bind(keeper);
         } catch (IOException e) {
             log.close();
