--- a/src/main/java/mulleinfront/follow/Following.java
+++ b/src/main/java/mulleinfront/follow/Following.java
@@ -30,7 +30,6 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import mulleinfront.config.Follower;
 import mulleinfront.config.Version;
 import mulleinfront.settings.ControlFile;
@@ -43,11 +42,21 @@
 public final class Following implements Follower.Actions {
     private static final int LONGEST_LINE = 4 * 1024 * 1024;
 
+    /** Whoever acts on the fleet's configuration; called on the event loop. */
+    public interface Listener {
+        /**
+         * A version is in force from now on, the kept one first; never an older one.
+         *
+         * @param how where it came from, for people
+         */
+        void inForce(Version version, String how);
+    }
+
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final List<ControlFile.Machine> machines;
     private final String name;
-    private final Consumer<Version> listener;
+    private final Listener listener;
     private final KeptCopy copy;
     private final Follower follower;
     private final long startNanos = System.nanoTime();
@@ -57,11 +66,11 @@
     /**
      * @param name this client proxy's, as the control machines are told
      * @param seed of chance, this process's own
-     * @param listener told of each version from the moment that it is in force, the kept one first; on the event loop
+     * @param listener told of each version from the moment that it is in force
      * @throws IOException if there can't be a state folder where the file says
      */
     public Following(EventLoop loop, ByteBufAllocator buffers, ControlFile file, String name, long seed,
-            Consumer<Version> listener) throws IOException {
+            Listener listener) throws IOException {
         this.loop = loop;
         this.machines = file.machines();
         this.name = name;
@@ -83,7 +92,7 @@
     public void start() {
         loop.execute(() -> {
             if (follower.inForce().number() > 0) {
-                tell(follower.inForce(), "kept");
+                listener.inForce(follower.inForce(), "kept");
             }
             follower.start(now());
         });
@@ -111,11 +120,6 @@
         return (System.nanoTime() - startNanos) / 1_000;
     }
 
-    private void tell(Version version, String how) {
-        System.err.println("mulleinfront: configuration version " + version.number() + " in force, " + how);
-        listener.accept(version);
-    }
-
     // ---- the follower's actions ----------------------------------------------------------------------
 
     @Override
@@ -148,7 +152,7 @@
         if (copy != null) {
             copy.keep(version);
         }
-        tell(version, "by " + machines.get(follower.machine()).name());
+        listener.inForce(version, "by " + machines.get(follower.machine()).name());
     }
 
     @Override
--- a/src/main/java/mulleinfront/handout/HandoutLog.java
+++ b/src/main/java/mulleinfront/handout/HandoutLog.java
@@ -14,7 +14,8 @@
 final class HandoutLog implements AutoCloseable {
     private final OutputStream out;
     private final String machine;
-    private boolean failed;
+    /** It was closed or could not be written any more. */
+    private boolean ended;
 
     /** @param file null: nothing is kept */
     HandoutLog(Path file, String machine) throws IOException {
@@ -28,7 +29,7 @@
     }
 
     void write(String kind, WatchLine.Fields fields) {
-        if (out == null || failed) {
+        if (out == null || ended) {
             return;
         }
         try {
@@ -40,13 +41,14 @@
             }));
         } catch (IOException e) {
             // A full disk takes the log and nothing else.
-            failed = true;
+            ended = true;
             System.err.println("mulleinfront: the event log ends here: " + e.getMessage());
         }
     }
 
     @Override
     public void close() throws IOException {
+        ended = true;
         if (out != null) {
             out.close();
         }
--- a/src/main/java/mulleinfront/handout/HandoutServer.java
+++ b/src/main/java/mulleinfront/handout/HandoutServer.java
@@ -252,6 +252,7 @@
         }
 
         private void watch(ChannelHandlerContext ctx) {
+            drop();
             QueryStringDecoder query = new QueryStringDecoder(request.uri());
             reader = parameter(query, "name", "");
             long after;
@@ -268,7 +269,6 @@
                         .getBytes(StandardCharsets.US_ASCII), true);
                 return;
             }
-            drop();
             HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
             head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
                     .set(HttpHeaderNames.CONTENT_TYPE, "application/x-ndjson");
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -330,7 +330,8 @@
      */
     public void follow(ControlFile file, String name, List<ClientProxy> all) throws IOException {
         String[] before = {null};
-        following = new Following(loop, Upstream.BUFFERS, file, name, config.seed(), version -> {
+        following = new Following(loop, Upstream.BUFFERS, file, name, config.seed(), (version, how) -> {
+            System.err.println("mulleinfront: configuration version " + version.number() + " in force, " + how);
             String now = version.entries().get("discovery");
             if (!Objects.equals(now, before[0])) {
                 before[0] = now;
