--- a/src/test/java/mulleinfront/config/HandoutTest.java
+++ b/src/test/java/mulleinfront/config/HandoutTest.java
@@ -1,14 +1,11 @@
 package mulleinfront.config;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Locale;
-import java.util.Map;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import mulleinfront.config.HandoutWorld.Machine;
 import mulleinfront.config.HandoutWorld.Proxy;
@@ -48,7 +45,9 @@
                 }
             }
             gone.kill();
-        }));
+        })),
+        /** At any time while a long line is on its way. */
+        KILLED_LATER(w -> w.time.after(w.chance.nextLong(2 * S), () -> w.machines.get(w.leader).kill()));
 
         final Consumer<HandoutWorld> begin;
 
@@ -73,6 +72,10 @@
     }
 
     private static Figures measure(Fault fault, int proxies, int seeds) {
+        return measure(fault, proxies, seeds, 20);
+    }
+
+    private static Figures measure(Fault fault, int proxies, int seeds, int keys) {
         List<Long> times = new ArrayList<>();
         double bytesPerS = 0;
         long worstSecond = 0;
@@ -84,7 +87,7 @@
             assertTrue(w.times(1).stream().noneMatch(t -> t == Long.MAX_VALUE), "all began with the first");
             long before = w.bytes;
             w.worstSecond = 0;
-            w.propose(w.changed(20));
+            w.propose(w.changed(keys));
             fault.begin.accept(w);
             w.run(20 * S);
             times.addAll(w.times(2));
@@ -122,6 +125,15 @@
         bounded(Fault.ZONE_KILLED);
     }
 
+    @Test
+    void alsoIfTheMachineIsKilledAnywhereWithinALongLine() {
+        // Some 9 KB: more than that is not sure of its six seconds if a machine is killed on the way.
+        Figures f = measure(Fault.KILLED_LATER, 167, 20, 250);
+        System.out.println("handout 167, 250 keys of 700, " + Fault.KILLED_LATER + " " + f.line());
+        assertTrue(f.worst() <= BOUND / (double) S, f.line());
+        assertTrue(f.worstSecond() <= 12_000, f.line());
+    }
+
     @Test
     void itsTimeDoesNotGrowWithTheFleet() {
         for (Fault fault : Fault.values()) {
--- a/src/test/java/mulleinfront/proxy/ConfigServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ConfigServeTest.java
@@ -1,6 +1,7 @@
 package mulleinfront.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -12,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import mulleinfront.proxy.ControlMachines.Reader;
 import mulleinfront.proxy.Peers.Client;
 import org.junit.jupiter.api.AfterEach;
@@ -40,10 +42,11 @@
         control.close();
     }
 
-    private Process serve(int port, String discovery, Path errors) throws Exception {
+    private Process serve(int port, String discovery, Path errors, String... options) throws Exception {
         Path json = Files.writeString(folder.resolve("n.json"), Peers.config(port, discovery, "",
                 Peers.list(1, true, Peers.host("s", "127.0.0.1:1", "in_service"))));
         List<String> command = new ArrayList<>(ServeTest.command());
+        command.addAll(1, List.of(options));
         command.addAll(List.of("--config-watch", control.file.toString()));
         ProcessBuilder builder = new ProcessBuilder(command).redirectError(errors.toFile());
         builder.environment().put("NODE_CONFIG", json.toString());
@@ -171,6 +174,22 @@
         assertTrue(text.indexOf("version 1 in force") < text.indexOf("version 4 in force"), text);
     }
 
+    @Test
+    void aClientProxyThatFollowsLoadsNothingOfWhoDecides() throws Exception {
+        Path errors = folder.resolve("served");
+        Path loaded = folder.resolve("loaded");
+        Process process = serve(ServeTest.freePort(), "127.0.0.1:1", errors, "-Xlog:class+load:file=" + loaded);
+        awaitLine(errors, "listening on");
+        awaitLine(loaded, "mulleinfront.follow.Following ");
+        process.destroy();
+        assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS), "nobody hands out, and it ends all the same");
+        String classes = Files.readString(loaded);
+        for (String no : List.of("mulleinfront.handout.", "mulleinfront.keep.", "io.microraft", "mulleinfront.cli.",
+                "ch.qos.logback", "org.slf4j", "picocli.", "mulleinfront.fleet.", "mulleinfront.gossip.")) {
+            assertFalse(classes.contains(no), no + ": " + classes.lines().filter(l -> l.contains(no)).findFirst());
+        }
+    }
+
     @Test
     void theKeyDiscoveryMovesTheWatchOfHosts() throws Exception {
         try (Peers.Discovery old = new Peers.Discovery(); Peers.Discovery other = new Peers.Discovery()) {
--- a/src/test/java/mulleinfront/proxy/FleetServeTest.java
+++ b/src/test/java/mulleinfront/proxy/FleetServeTest.java
@@ -246,7 +246,8 @@
         assertTrue(classes.contains("mulleinfront.proxy.ClientProxy"));
         for (String no : List.of("mulleinfront.fleet.", "mulleinfront.gossip.", "mulleinfront.emulator.",
                 "mulleinfront.kit.", "mulleinfront.cli.", "ch.qos.logback", "org.slf4j", "org.tomlj", "picocli.",
-                "mulleinfront.settings.FleetFile")) {
+                "mulleinfront.settings.FleetFile", "mulleinfront.config.", "mulleinfront.follow.",
+                "mulleinfront.handout.", "mulleinfront.keep.", "mulleinfront.settings.ControlFile", "io.microraft")) {
             assertFalse(classes.contains(no), no + ": " + classes.lines().filter(l -> l.contains(no)).findFirst());
         }
     }
--- /dev/null
+++ b/src/test/java/mulleinfront/settings/ControlFileTest.java
@@ -0,0 +1,113 @@
+package mulleinfront.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import mulleinfront.config.FollowerSettings;
+import mulleinfront.config.HandoutSettings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The files of the control machines and of the fleet's configuration, and what is said of bad ones. */
+class ControlFileTest {
+    @TempDir
+    Path folder;
+
+    private static final String MACHINES = """
+            [[machine]]
+            name = "a"
+            consensus = "127.0.0.1:1"
+            door = "127.0.0.1:2"
+            [[machine]]
+            name = "b"
+            consensus = "127.0.0.1:3"
+            door = "127.0.0.1:4"
+            [[machine]]
+            name = "c"
+            consensus = "127.0.0.1:5"
+            door = "127.0.0.1:6"
+            """;
+
+    @Test
+    void theDeployFileSaysWhatTheNoteReckonsWith() throws Exception {
+        ControlFile file = ControlFile.load(Path.of("deploy/control.toml"));
+        assertEquals(HandoutSettings.USUAL, file.handout());
+        assertEquals(FollowerSettings.usual(3), file.follow());
+        assertNull(file.state());
+        assertNull(file.events());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            name = "b"|name = "a"|6: machine.name: there is another machine a
+            name = "b"|name = "b c"|6: machine.name: must have 1 to 64 letters, digits, '.', '_' or '-'
+            door = "127.0.0.1:4"|door = "127.0.0.1:1"|8: machine.door: something else has this address
+            door = "127.0.0.1:4"|door = "here"|8: machine.door: not an address and port: here
+            door = "127.0.0.1:4"|doors = 3|5: machine: missing door
+            """)
+    void whatIsWrongWithAMachineIsSaid(String old, String bad, String said) throws Exception {
+        refused(MACHINES.replace(old, bad), said);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            [handout]\\nbytes = "10/s"|14: handout.bytes: must be from 1000/s to 10000000/s
+            [handout]\\nbyte = 1|14: handout.byte: unknown key
+            [follow]\\nsilence = "1ms"|14: follow.silence: must be from 1000ms to 3600000ms
+            [follow]\\nconnect = "2s"|14: follow.connect: must be from 10ms to 1500ms
+            [other]|13: other: unknown key
+            """)
+    void whatIsWrongWithFiguresIsSaid(String bad, String said) throws Exception {
+        refused(MACHINES + bad.replace("\\n", "\n"), said);
+    }
+
+    private void refused(String text, String said) throws Exception {
+        Path file = Files.writeString(folder.resolve("c.toml"), text);
+        BadFileException e = assertThrows(BadFileException.class, () -> ControlFile.load(file));
+        assertEquals(file + ":" + said, e.getMessage());
+    }
+
+    @Test
+    void nestedTablesAndListsAreDottedKeys() throws Exception {
+        assertEquals(Map.of("a.b.c", "1.5", "a.on", "true", "l.0", "x", "l.1.y", "2"),
+                FleetConfiguration.read("f", "a.b.c = 1.5\na.on = true\nl = [\"x\", {y = 2}]\n"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            a = |1: Unexpected end of input
+            a = 1\\n'b c' = 2|2: b c: a key has letters, digits
+            a = 1\\n'b.c' = 2|2: b.c: a name with a dot in it can't be told from two
+            [t]\\n[t.u]\\nv = ['', '\\t \\uD83D\\uDE00']|3: t.u.v.1: a character beyond U+FFFF
+            discovery = 'x'|1: discovery: not an address and port: x
+            discovery = ['127.0.0.1:1']|ok
+            """)
+    void whatCanNotBeTheFleetsIsSaidWithItsLine(String text, String said) throws Exception {
+        String toml = text.replace("\\n", "\n").replace("\\t", "\t").replace("\\uD83D\\uDE00", "\uD83D\uDE00");
+        if (said.equals("ok")) {
+            assertEquals("127.0.0.1:1", FleetConfiguration.read("f", toml).get("discovery.0"));
+            return;
+        }
+        BadFileException e = assertThrows(BadFileException.class, () -> FleetConfiguration.read("f", toml));
+        assertEquals("f:" + said, e.getMessage().substring(0, Math.min(e.getMessage().length(), said.length() + 2)));
+    }
+
+    @Test
+    void moreThanCanBeSentInTimeIsRefused() throws Exception {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < 9; i++) {
+            text.append("k").append(i).append(" = \"").append("v".repeat(4_096)).append("\"\n");
+        }
+        BadFileException e = assertThrows(BadFileException.class, () -> FleetConfiguration.read("f", text.toString()));
+        assertEquals("f: keys and values have 36000 characters at most, not 36882", e.getMessage());
+        BadFileException longer = assertThrows(BadFileException.class,
+                () -> FleetConfiguration.read("f", "\nk = \"" + "v".repeat(4_097) + "\"\n"));
+        assertEquals("f:2: k: a value has 4096 characters at most, not 4097", longer.getMessage());
+    }
+}
