--- a/src/main/java/mulleinfront/cli/GraphCommand.java
+++ b/src/main/java/mulleinfront/cli/GraphCommand.java
@@ -23,8 +23,8 @@
 
 /** {@code emulate graph}: many services that call each other, on virtual time. */
 @Command(name = "graph", mixinStandardHelpOptions = true,
-        description = "Plays many services that call each other, each machine with a client proxy that knows the"
-        + " services it calls, and prints what requests and calls had of it.",
+        description = "Plays many services that call each other, each machine with a client proxy that knows"
+        + " the services it calls, and prints what requests and calls had of it.",
         footer = {"", "Exit codes: 0 the rules were kept, 2 bad input (one line on standard error),"
             + " 3 a rule was broken."})
 final class GraphCommand implements Callable<Integer> {
@@ -41,7 +41,8 @@
     @Option(names = "--json", paramLabel = "FILE", description = "writes the figures as JSON too")
     private Path json;
 
-    @Option(names = "--trace", paramLabel = "FILE", description = "writes down each event and decision, a line each")
+    @Option(names = "--trace", paramLabel = "FILE",
+            description = "writes down each event and decision, a line each")
     private Path trace;
 
     @Option(names = "--hosts", paramLabel = "N", defaultValue = "0",
@@ -61,7 +62,8 @@
         GraphSpec graph = GraphReader.read(file);
         if (hosts != 0 || rate != 0 || lengthMs != 0) {
             if (hosts < 0 || rate < 0 || lengthMs < 0) {
-                throw new ParameterException(spec.commandLine(), "--hosts, --rate and --length-ms are more than 0");
+                throw new ParameterException(spec.commandLine(),
+                        "--hosts, --rate and --length-ms are more than 0");
             }
             graph = graph.sized(hosts, rate, lengthMs * 1000);
         }
@@ -79,7 +81,8 @@
         }
         PrintWriter out = spec.commandLine().getOut();
         out.print(report.text());
-        out.printf(Locale.ROOT, "played in %.1f s, %.1f s of processor: %.2f virtual seconds of load a CPU second%n",
+        out.printf(Locale.ROOT,
+                "played in %.1f s, %.1f s of processor: %.2f virtual seconds of load a CPU second%n",
                 (System.nanoTime() - wall) / 1e9, cpuS, report.askedUs() / 1e6 / Math.max(1e-3, cpuS));
         out.flush();
         return report.brokenCount() == 0 ? CommandLine.KEPT : CommandLine.RULE_BROKEN;
--- a/src/main/java/mulleinfront/emulator/CallGraph.java
+++ b/src/main/java/mulleinfront/emulator/CallGraph.java
@@ -7,9 +7,10 @@
 import java.util.TreeMap;
 
 /**
- * Which services call which, drawn by seed: services of level 0 take requests from outside, all of them call the one
- * of level 1, which so stands on every path, and calls go only to deeper levels, so there is no way round in it. One
- * chain reaches the deepest level; what else is called is drawn, some far more often than others.
+ * Which services call which, drawn by seed: services of level 0 take requests from outside, all of them call
+ * the one of level 1, which so stands on every path, and calls go only to deeper levels, so there is no way
+ * round in it. One chain reaches the deepest level; what else is called is drawn, some far more often than
+ * others.
  */
 final class CallGraph {
     /**
@@ -37,7 +38,8 @@
             List<Edge> calls) { }
 
     /** A call that is not weighted yet. */
-    private record Draft(int from, int to, double chance, boolean chained, boolean optional, boolean reads) { }
+    private record Draft(int from, int to, double chance, boolean chained, boolean optional,
+            boolean reads) { }
 
     private static final int ROUNDS = 60;
 
@@ -146,7 +148,9 @@
         }
     }
 
-    /** Calls of each service by one request from outside, where all that was drawn is so many times as likely. */
+    /**
+     * Calls of each service by one request from outside, where all that was drawn is so many times as likely.
+     */
     private double[] visits(double factor) {
         double[] visits = new double[level.length];
         for (int i = 0; i < spec.fronts(); i++) {
@@ -175,7 +179,8 @@
 
     private void weigh() {
         if (calls(0) > spec.callsPerRequest()) {
-            throw new IllegalArgumentException(String.format(Locale.ROOT, "calls-per-request: the chain alone makes"
+            throw new IllegalArgumentException(String.format(Locale.ROOT,
+                    "calls-per-request: the chain alone makes"
                     + " %.2f calls, more than %.2f", calls(0), spec.callsPerRequest()));
         }
         double low = 0;
--- a/src/main/java/mulleinfront/emulator/GraphApplication.java
+++ b/src/main/java/mulleinfront/emulator/GraphApplication.java
@@ -1,11 +1,15 @@
 package mulleinfront.emulator;
 
-/** What applications do with the calls that they make for a request; one that is broken shows the auditor's worth. */
+/**
+ * What applications do with the calls that they make for a request; one that is broken shows the auditor's
+ * worth.
+ */
 interface GraphApplication {
     GraphApplication PLAIN = new GraphApplication() { };
 
     /**
-     * When nobody waits for a call any more: what is left of the request's own time, less the way of the answer.
+     * When nobody waits for a call any more: what is left of the request's own time, less the way of the
+     * answer.
      *
      * @param endsAt when nobody waits for the request
      * @param deadlineUs the whole patience of the call's class
--- a/src/main/java/mulleinfront/emulator/GraphAuditor.java
+++ b/src/main/java/mulleinfront/emulator/GraphAuditor.java
@@ -8,10 +8,10 @@
 import mulleinfront.Balancer.Effect;
 
 /**
- * Judges what must hold along a path of calls, beside the four rules that each service's own auditor judges: nobody
- * below has more time than whoever waits above, nothing is sent for a request that is over, no call has more of an
- * effect than the request that it is made for, and an effect that may not be repeated is not repeated by a repeat
- * above it.
+ * Judges what must hold along a path of calls, beside the four rules that each service's own auditor judges:
+ * nobody below has more time than whoever waits above, nothing is sent for a request that is over, no call
+ * has more of an effect than the request that it is made for, and an effect that may not be repeated is not
+ * repeated by a repeat above it.
  */
 public final class GraphAuditor {
     private static final int MOST_KEPT = 100;
@@ -21,7 +21,8 @@
     /** What is judged, by the name of what is broken. */
     public enum Rule {
         DEADLINE("the deadline is passed on"), CANCEL("what is cancelled above is cancelled below"),
-        EFFECT("no call has more of an effect than its request"), TWICE("no effect happens twice along a path");
+        EFFECT("no call has more of an effect than its request"),
+        TWICE("no effect happens twice along a path");
 
         private final String words;
 
@@ -139,7 +140,8 @@
         } else {
             breachCount++;
             if (breaches.size() < MOST_KEPT) {
-                breaches.add(new Breach(Rule.TWICE, now, "any", "the effect " + effect + " ran " + times + " times"));
+                breaches.add(new Breach(Rule.TWICE, now, "any", "the effect " + effect + " ran " + times
+                        + " times"));
             }
         }
     }
--- a/src/main/java/mulleinfront/emulator/GraphMachine.java
+++ b/src/main/java/mulleinfront/emulator/GraphMachine.java
@@ -43,7 +43,8 @@
                 return u;
             }
         }
-        throw new IllegalStateException("machine " + number + " of " + node.name() + " does not call " + service);
+        throw new IllegalStateException("machine " + number + " of " + node.name() + " does not call "
+                + service);
     }
 
     /** Its process is gone, and what it was at with it. */
--- a/src/main/java/mulleinfront/emulator/GraphReader.java
+++ b/src/main/java/mulleinfront/emulator/GraphReader.java
@@ -67,13 +67,13 @@
         if (work.low() <= 0) {
             throw graph.wrong("work-factor", "must be more than nothing");
         }
-        GraphSpec spec = new GraphSpec(world, names, regionOf, graph.times("between-regions", Range.of(0)), services,
-                depth, fronts, graph.share("front-hosts", 0.1, 1), graph.count("least-hosts", 3, 1),
+        GraphSpec spec = new GraphSpec(world, names, regionOf, graph.times("between-regions", Range.of(0)),
+                services, depth, fronts, graph.share("front-hosts", 0.1, 1), graph.count("least-hosts", 3, 1),
                 graph.count("fan-out", 4, 0), graph.number("skew", 0.8, 0), graph.share("chain", 0.75, 1),
                 graph.number("calls-per-request", null, 1), graph.word("rate-of", RateOf.CALLS, RateOf.class)
                 == RateOf.CALLS, work, graph.share("in-turn", 0.5, 1), graph.share("optional", 0.3, 1),
-                graph.share("reads", 0.6, 1), graph.word("told", GraphSpec.Told.ATTEMPT, GraphSpec.Told.class),
-                graph.time("reserve", 2_000L), graph.count("rack", 20, 1),
+                graph.share("reads", 0.6, 1), graph.word("told", GraphSpec.Told.ATTEMPT,
+                GraphSpec.Told.class), graph.time("reserve", 2_000L), graph.count("rack", 20, 1),
                 graph.time("added-budget", 660L), List.of());
         graph.done();
         try {
@@ -89,7 +89,8 @@
         return spec.failing(all);
     }
 
-    private static List<String> regions(Section root, List<Section> regions, List<String> zones, int[] regionOf)
+    private static List<String> regions(Section root, List<Section> regions, List<String> zones,
+            int[] regionOf)
             throws BadFileException {
         Arrays.fill(regionOf, -1);
         List<String> names = new ArrayList<>();
--- a/src/main/java/mulleinfront/emulator/GraphRequest.java
+++ b/src/main/java/mulleinfront/emulator/GraphRequest.java
@@ -16,7 +16,8 @@
     int beyond;
     boolean over;
 
-    GraphRequest(String id, int classIndex, int tenant, String key, double worth, long bornAt, long aimAt, long endAt) {
+    GraphRequest(String id, int classIndex, int tenant, String key, double worth, long bornAt, long aimAt,
+            long endAt) {
         this.id = id;
         this.classIndex = classIndex;
         this.tenant = tenant;
--- a/src/main/java/mulleinfront/emulator/GraphScript.java
+++ b/src/main/java/mulleinfront/emulator/GraphScript.java
@@ -55,7 +55,8 @@
         for (GraphMachine m : drawn(f)) {
             int nth = told.merge(m.node, 1, Integer::sum) - 1;
             // A service of few does not have its first machine in every first batch.
-            int batch = batches == 0 ? 0 : (nth * Math.max(1, batches / m.node.hosts()) + m.node.number()) % batches;
+            int batch = batches == 0 ? 0 : (nth * Math.max(1, batches / m.node.hosts())
+                    + m.node.number()) % batches;
             long after = batches > 0 ? f.withinUs() * batch / batches : (long) (f.withinUs() * chance.unit());
             graph.queue.after(after, () -> {
                 if (!m.down && !m.away) {
--- a/src/main/java/mulleinfront/emulator/GraphSpec.java
+++ b/src/main/java/mulleinfront/emulator/GraphSpec.java
@@ -5,11 +5,11 @@
 import mulleinfront.settings.Range;
 
 /**
- * Many services that call each other, as {@link GraphReader} reads them from a file. Times are microseconds, shares
- * parts of 1.
+ * Many services that call each other, as {@link GraphReader} reads them from a file. Times are microseconds,
+ * shares parts of 1.
  *
- * @param world what holds for every service; its one group of servers says what a machine is and how many there are,
- *        its load how much is asked
+ * @param world what holds for every service; its one group of servers says what a machine is and how many
+ *        there are, its load how much is asked
  * @param regions names of the regions
  * @param regionOf region of each zone
  * @param betweenRegions one way between zones of two regions, drawn for each pair
@@ -33,14 +33,17 @@
  * @param budgetUs time that may be added to a call
  * @param failures what happens
  */
-public record GraphSpec(Scenario world, List<String> regions, int[] regionOf, Range betweenRegions, int services,
+public record GraphSpec(Scenario world, List<String> regions, int[] regionOf, Range betweenRegions,
+        int services,
         int depth, int fronts, double frontPart, int leastHosts, int fanOut, double skew, double chain,
-        double callsPerRequest, boolean rateOfCalls, Range workFactor, double inTurn, double optional, double reads,
-        Told told, long reserveUs, int rack, long budgetUs, List<Failure> failures) {
+        double callsPerRequest, boolean rateOfCalls, Range workFactor, double inTurn, double optional,
+        double reads, Told told, long reserveUs, int rack, long budgetUs, List<Failure> failures) {
 
     /** The time that a server is told, and divides among its own calls. */
     public enum Told {
-        /** How long the client proxy waits for this attempt, as the wire's page says and {@code serve} does. */
+        /**
+         * How long the client proxy waits for this attempt, as the wire's page says and {@code serve} does.
+         */
         ATTEMPT,
         /** How long the application waits for the call. */
         REQUEST
@@ -81,7 +84,8 @@
 
     /** The same with other failures. */
     GraphSpec failing(List<Failure> others) {
-        return new GraphSpec(world, regions, regionOf, betweenRegions, services, depth, fronts, frontPart, leastHosts,
+        return new GraphSpec(world, regions, regionOf, betweenRegions, services, depth, fronts, frontPart,
+                leastHosts,
                 fanOut, skew, chain, callsPerRequest, rateOfCalls, workFactor, inTurn, optional, reads, told,
                 reserveUs, rack, budgetUs, others);
     }
@@ -92,8 +96,8 @@
     }
 
     /**
-     * The same in another size, for a look: failures come at the same part of the whole time, and last the same part
-     * of it.
+     * The same in another size, for a look: failures come at the same part of the whole time, and last the
+     * same part of it.
      *
      * @param hosts machines; at most 0: as they are
      * @param perSecond the load's rate; at most 0: as it is
@@ -104,10 +108,12 @@
         double scale = lengthUs > 0 ? (double) lengthUs / w.lengthUs() : 1;
         Scenario.Load l = w.load();
         double rate = perSecond > 0 ? perSecond : l.perSecond();
-        Scenario.Load load = new Scenario.Load(rate, l.shape(), rate, l.swing(), l.burstUs(), l.keys(), l.zipf());
-        Scenario.Servers group = w.servers().get(0).named(w.servers().get(0).name(), hosts > 0 ? hosts : hosts());
-        Scenario sized = w.asService(w.name(), lengthUs > 0 ? lengthUs : w.lengthUs(), w.proxies(), w.clients(), load,
-                group, w.classes());
+        Scenario.Load load = new Scenario.Load(rate, l.shape(), rate, l.swing(), l.burstUs(), l.keys(),
+                l.zipf());
+        Scenario.Servers group = w.servers().get(0).named(w.servers().get(0).name(), hosts > 0 ? hosts
+                : hosts());
+        Scenario sized = w.asService(w.name(), lengthUs > 0 ? lengthUs : w.lengthUs(), w.proxies(),
+                w.clients(), load, group, w.classes());
         List<Failure> scaled = new ArrayList<>();
         for (Failure f : failures) {
             scaled.add(new Failure(f.kind(), (long) (f.at() * scale), (long) (f.forUs() * scale),
@@ -116,7 +122,8 @@
                     (long) (f.drainUs() * scale), f.proxies()));
         }
         int smallRack = hosts > 0 ? Math.max(1, rack * hosts / hosts()) : rack;
-        return new GraphSpec(sized, regions, regionOf, betweenRegions, services, depth, fronts, frontPart, leastHosts,
+        return new GraphSpec(sized, regions, regionOf, betweenRegions, services, depth, fronts, frontPart,
+                leastHosts,
                 fanOut, skew, chain, callsPerRequest, rateOfCalls, workFactor, inTurn, optional, reads, told,
                 reserveUs, smallRack, budgetUs, scaled);
     }
--- a/src/main/java/mulleinfront/emulator/GraphTally.java
+++ b/src/main/java/mulleinfront/emulator/GraphTally.java
@@ -54,7 +54,9 @@
             return ended[how.ordinal()];
         }
 
-        /** Worth of calls answered before the request's aim, as a part of the worth of all that were wanted. */
+        /**
+         * Worth of calls answered before the request's aim, as a part of the worth of all that were wanted.
+         */
         double service() {
             return asked == 0 ? 1 : inTime / asked;
         }
@@ -103,7 +105,10 @@
     long requestsLeft;
     double asked;
     double earned;
-    /** Connections of one client proxy to all hosts at the fullest second: of the fullest one, and on the mean. */
+    /**
+     * Connections of one client proxy to all hosts at the fullest second: of the fullest one, and on the
+     * mean.
+     */
     int mostConnections;
     double meanConnections;
 
@@ -155,7 +160,8 @@
         }
         requestsServed++;
         requestTimes.add(now - r.bornAt);
-        double worth = r.worth * (now <= r.aimAt ? 1 : spec.world().classes().get(r.classIndex).type().lateWorth());
+        double worth = r.worth * (now <= r.aimAt ? 1
+                : spec.world().classes().get(r.classIndex).type().lateWorth());
         earned += worth;
         classEarned[r.classIndex] += worth;
         s.earned += worth;
--- a/src/main/java/mulleinfront/emulator/GraphWorld.java
+++ b/src/main/java/mulleinfront/emulator/GraphWorld.java
@@ -13,10 +13,11 @@
 import mulleinfront.core.Time;
 
 /**
- * Many services that call each other on one virtual time and one seed. Each service is a {@link World} of its own: its
- * servers, its discovery, its auditor of the four rules, and one core and module for each machine that calls it, so a
- * client proxy knows the services that it calls and no others. What ties them together is here: machines, zones and
- * regions, the calls that an application makes for a request, its deadline and its end passed on, and what fails.
+ * Many services that call each other on one virtual time and one seed. Each service is a {@link World} of its
+ * own: its servers, its discovery, its auditor of the four rules, and one core and module for each machine
+ * that calls it, so a client proxy knows the services that it calls and no others. What ties them together is
+ * here: machines, zones and regions, the calls that an application makes for a request, its deadline and its
+ * end passed on, and what fails.
  */
 public final class GraphWorld {
     /** First letters of effects, by what repeating them does. */
@@ -97,7 +98,8 @@
 
     /** As it is shipped: with the real module. */
     public static GraphWorld of(GraphSpec spec, long seed, OutputStream traceFile) {
-        return new GraphWorld(spec, seed, new Trace(traceFile), Balancer::create, Fitting.PLAIN, GraphApplication.PLAIN);
+        return new GraphWorld(spec, seed, new Trace(traceFile), Balancer::create, Fitting.PLAIN,
+                GraphApplication.PLAIN);
     }
 
     // ---- building ------------------------------------------------------------------------------------
@@ -150,13 +152,15 @@
         }
         Scenario w = spec.world();
         Scenario.Proxies p = w.withProxies(callers.size()).proxies();
-        Scenario.Clients c = new Scenario.Clients(w.clients().retries(), w.clients().backoff(), w.clients().doubling(),
-                0, mulleinfront.settings.Range.of(1), 0);
+        Scenario.Clients c = new Scenario.Clients(w.clients().retries(), w.clients().backoff(),
+                w.clients().doubling(), 0, mulleinfront.settings.Range.of(1), 0);
         List<Scenario.ClassSpec> types = new ArrayList<>();
         for (Scenario.ClassSpec t : w.classes()) {
-            types.add(new Scenario.ClassSpec(t.type(), t.share(), t.workUs() * node.work(), t.dist(), t.cv()));
+            types.add(new Scenario.ClassSpec(t.type(), t.share(), t.workUs() * node.work(), t.dist(),
+                    t.cv()));
         }
-        Scenario.Load load = new Scenario.Load(spec.requestsPerSecond() * node.visits(), Scenario.Shape.STEADY,
+        Scenario.Load load = new Scenario.Load(spec.requestsPerSecond() * node.visits(),
+                Scenario.Shape.STEADY,
                 spec.requestsPerSecond() * node.visits(), 0, SECOND_US, w.load().keys(), w.load().zipf());
         Scenario scenario = w.asService(node.name(), w.lengthUs(), p, c, load,
                 w.servers().get(0).named(node.name(), node.hosts()), types);
@@ -331,8 +335,8 @@
     Hop hop(Handling above, CallGraph.Edge e) {
         int ofRequest = above.above == null ? above.request.classIndex : above.above.classIndex;
         int c = application.classOf(kind(ofRequest) == SAFE ? ofRequest : reading, ofRequest, e.reads());
-        String effect = application.effect(kind(c), above.above == null ? above.request.id : above.above.effect,
-                e.number());
+        String effect = application.effect(kind(c), above.above == null ? above.request.id
+                : above.above.effect, e.number());
         long endAt = application.endOf(above.endsAt, queue.now(),
                 spec.world().classes().get(c).type().deadlineUs(), spec.reserveUs());
         Hop hop = new Hop(this, e, above, c, effect, endAt);
@@ -395,7 +399,8 @@
         graph.audit.breaches().forEach(b -> all.add(b.toString()));
         for (World.Result r : results) {
             if (r != null) {
-                r.breaches().forEach(b -> all.add(String.format(Locale.ROOT, "%s: %s", r.scenario().name(), b)));
+                r.breaches().forEach(b -> all.add(String.format(Locale.ROOT, "%s: %s", r.scenario().name(),
+                        b)));
             }
         }
         return all;
--- a/src/main/java/mulleinfront/emulator/Handling.java
+++ b/src/main/java/mulleinfront/emulator/Handling.java
@@ -6,8 +6,8 @@
 import java.util.Set;
 
 /**
- * A request at an application whose own work on it is done: the calls that it makes of other services, and its answer
- * when those have ended. While it waits for them it holds no core and no slot.
+ * A request at an application whose own work on it is done: the calls that it makes of other services, and
+ * its answer when those have ended. While it waits for them it holds no core and no slot.
  */
 final class Handling {
     /** The request from outside that it is a part of. */
@@ -33,7 +33,8 @@
         void done(ServerModel.End end);
     }
 
-    Handling(GraphWorld graph, GraphRequest request, Hop above, GraphMachine machine, long endsAt, Done done) {
+    Handling(GraphWorld graph, GraphRequest request, Hop above, GraphMachine machine, long endsAt,
+            Done done) {
         this.graph = graph;
         this.request = request;
         this.above = above;
--- a/src/main/java/mulleinfront/emulator/Hop.java
+++ b/src/main/java/mulleinfront/emulator/Hop.java
@@ -1,8 +1,8 @@
 package mulleinfront.emulator;
 
 /**
- * One call of one service by another, from the application through its client proxy to a server and back, with the
- * instants that its time is made of. Late news of an attempt that was given up change nothing.
+ * One call of one service by another, from the application through its client proxy to a server and back,
+ * with the instants that its time is made of. Late news of an attempt that was given up change nothing.
  */
 final class Hop {
     final CallGraph.Edge edge;
@@ -42,7 +42,9 @@
         return above.depth + 1;
     }
 
-    /** Further tries by the application: only whoever asked first repeats, or each level would multiply them. */
+    /**
+     * Further tries by the application: only whoever asked first repeats, or each level would multiply them.
+     */
     int retries() {
         return above.above == null ? graph.spec.world().clients().retries() : 0;
     }
--- a/src/main/java/mulleinfront/emulator/Part.java
+++ b/src/main/java/mulleinfront/emulator/Part.java
@@ -3,8 +3,8 @@
 import mulleinfront.Refusal;
 
 /**
- * What a world takes from the larger one that it is a part of, and tells it: there a world is one service, its
- * servers and the client proxies of all machines that call it.
+ * What a world takes from the larger one that it is a part of, and tells it: there a world is one service,
+ * its servers and the client proxies of all machines that call it.
  */
 interface Part {
     /** The virtual time of all parts. */
