--- a/src/main/java/mulleinfront/cli/GraphCommand.java
+++ b/src/main/java/mulleinfront/cli/GraphCommand.java
@@ -49,6 +49,10 @@
             description = "so many machines in place of the file's")
     private int hosts;
 
+    @Option(names = "--services", paramLabel = "N", defaultValue = "0",
+            description = "so many services in place of the file's")
+    private int services;
+
     @Option(names = "--rate", paramLabel = "N", defaultValue = "0",
             description = "so many a second in place of the file's")
     private double rate;
@@ -60,12 +64,12 @@
     @Override
     public Integer call() throws BadFileException, IOException {
         GraphSpec graph = GraphReader.read(file);
-        if (hosts != 0 || rate != 0 || lengthMs != 0) {
-            if (hosts < 0 || rate < 0 || lengthMs < 0) {
+        if (hosts != 0 || services != 0 || rate != 0 || lengthMs != 0) {
+            if (hosts < 0 || services < 0 || rate < 0 || lengthMs < 0) {
                 throw new ParameterException(spec.commandLine(),
-                        "--hosts, --rate and --length-ms are more than 0");
+                        "--hosts, --services, --rate and --length-ms are more than 0");
             }
-            graph = graph.sized(hosts, rate, lengthMs * 1000);
+            graph = graph.sized(hosts, services, rate, lengthMs * 1000);
         }
         long wall = System.nanoTime();
         long cpu = cpu();
--- a/src/main/java/mulleinfront/emulator/CallGraph.java
+++ b/src/main/java/mulleinfront/emulator/CallGraph.java
@@ -61,9 +61,14 @@
     /**
      * Draws one.
      *
-     * @throws IllegalArgumentException if the chain alone makes more calls than a request is to make
+     * @throws IllegalArgumentException if there are too few services or machines, or the chain alone makes
+     *         more calls than a request is to make
      */
     static CallGraph draw(GraphSpec spec, long seed) {
+        if (spec.services() < spec.fronts() + spec.depth()) {
+            throw new IllegalArgumentException("fewer services than fronts and levels: " + spec.services()
+                    + " for " + spec.fronts() + " and " + spec.depth());
+        }
         CallGraph g = new CallGraph(spec, Chance.of(seed, "graph"));
         g.levels();
         g.drafts();
--- a/src/main/java/mulleinfront/emulator/GraphSpec.java
+++ b/src/main/java/mulleinfront/emulator/GraphSpec.java
@@ -85,9 +85,8 @@
     /** The same with other failures. */
     GraphSpec failing(List<Failure> others) {
         return new GraphSpec(world, regions, regionOf, betweenRegions, services, depth, fronts, frontPart,
-                leastHosts,
-                fanOut, skew, chain, callsPerRequest, rateOfCalls, workFactor, inTurn, optional, reads, told,
-                reserveUs, rack, budgetUs, others);
+                leastHosts, fanOut, skew, chain, callsPerRequest, rateOfCalls, workFactor, inTurn, optional,
+                reads, told, reserveUs, rack, budgetUs, others);
     }
 
     /** Requests from outside a second. */
@@ -100,10 +99,11 @@
      * same part of it.
      *
      * @param hosts machines; at most 0: as they are
+     * @param itsServices services; at most 0: as they are
      * @param perSecond the load's rate; at most 0: as it is
      * @param lengthUs how long is asked; at most 0: as long as it is
      */
-    public GraphSpec sized(int hosts, double perSecond, long lengthUs) {
+    public GraphSpec sized(int hosts, int itsServices, double perSecond, long lengthUs) {
         Scenario w = world;
         double scale = lengthUs > 0 ? (double) lengthUs / w.lengthUs() : 1;
         Scenario.Load l = w.load();
@@ -122,9 +122,9 @@
                     (long) (f.drainUs() * scale), f.proxies()));
         }
         int smallRack = hosts > 0 ? Math.max(1, rack * hosts / hosts()) : rack;
-        return new GraphSpec(sized, regions, regionOf, betweenRegions, services, depth, fronts, frontPart,
-                leastHosts,
-                fanOut, skew, chain, callsPerRequest, rateOfCalls, workFactor, inTurn, optional, reads, told,
-                reserveUs, smallRack, budgetUs, scaled);
+        return new GraphSpec(sized, regions, regionOf, betweenRegions, itsServices > 0 ? itsServices
+                : services,
+                depth, fronts, frontPart, leastHosts, fanOut, skew, chain, callsPerRequest, rateOfCalls,
+                workFactor, inTurn, optional, reads, told, reserveUs, smallRack, budgetUs, scaled);
     }
 }
