--- a/src/main/java/mulleinfront/emulator/GraphWorld.java
+++ b/src/main/java/mulleinfront/emulator/GraphWorld.java
@@ -13,10 +13,11 @@
 import mulleinfront.core.Time;
 
 /**
- * Many services that call each other on one virtual time and one seed. Each service is a {@link World} of its own: its
- * servers, its discovery, its auditor of the four rules, and one core and module for each machine that calls it, so a
- * client proxy knows the services that it calls and no others. What ties them together is here: machines, zones and
- * regions, the calls that an application makes for a request, its deadline and its end passed on, and what fails.
+ * Many services that call each other on one virtual time and one seed. Each service is a {@link World} of its
+ * own: its servers, its discovery, its auditor of the four rules, and one core and module for each machine
+ * that calls it, so a client proxy knows the services that it calls and no others. What ties them together is
+ * here: machines, zones and regions, the calls that an application makes for a request, its deadline and its
+ * end passed on, and what fails.
  */
 public final class GraphWorld {
     /** First letters of effects, by what repeating them does. */
@@ -30,8 +31,6 @@
     final GraphTally tally;
     final GraphAuditor audit;
     final GraphApplication application;
-    /** Which of its calls a request makes. */
-    final Chance calls;
     final List<GraphMachine> machines = new ArrayList<>();
     private final Chance arrivals;
     private final Chance works;
@@ -66,7 +65,6 @@
         this.graph = CallGraph.draw(spec, seed);
         this.tally = new GraphTally(spec);
         this.audit = new GraphAuditor(this);
-        this.calls = Chance.of(seed, "calls");
         this.arrivals = Chance.of(seed, "arrivals");
         this.works = Chance.of(seed, "works");
         this.oneWay = ways();
@@ -97,7 +95,8 @@
 
     /** As it is shipped: with the real module. */
     public static GraphWorld of(GraphSpec spec, long seed, OutputStream traceFile) {
-        return new GraphWorld(spec, seed, new Trace(traceFile), Balancer::create, Fitting.PLAIN, GraphApplication.PLAIN);
+        return new GraphWorld(spec, seed, new Trace(traceFile), Balancer::create, Fitting.PLAIN,
+                GraphApplication.PLAIN);
     }
 
     // ---- building ------------------------------------------------------------------------------------
@@ -150,13 +149,15 @@
         }
         Scenario w = spec.world();
         Scenario.Proxies p = w.withProxies(callers.size()).proxies();
-        Scenario.Clients c = new Scenario.Clients(w.clients().retries(), w.clients().backoff(), w.clients().doubling(),
-                0, mulleinfront.settings.Range.of(1), 0);
+        Scenario.Clients c = new Scenario.Clients(w.clients().retries(), w.clients().backoff(),
+                w.clients().doubling(), 0, mulleinfront.settings.Range.of(1), 0);
         List<Scenario.ClassSpec> types = new ArrayList<>();
         for (Scenario.ClassSpec t : w.classes()) {
-            types.add(new Scenario.ClassSpec(t.type(), t.share(), t.workUs() * node.work(), t.dist(), t.cv()));
+            types.add(new Scenario.ClassSpec(t.type(), t.share(), t.workUs() * node.work(), t.dist(),
+                    t.cv()));
         }
-        Scenario.Load load = new Scenario.Load(spec.requestsPerSecond() * node.visits(), Scenario.Shape.STEADY,
+        Scenario.Load load = new Scenario.Load(spec.requestsPerSecond() * node.visits(),
+                Scenario.Shape.STEADY,
                 spec.requestsPerSecond() * node.visits(), 0, SECOND_US, w.load().keys(), w.load().zipf());
         Scenario scenario = w.asService(node.name(), w.lengthUs(), p, c, load,
                 w.servers().get(0).named(node.name(), node.hosts()), types);
@@ -327,12 +328,31 @@
         };
     }
 
+    /**
+     * Which of its calls a service makes for a request: the same each time that request comes to it, or a repeat would
+     * do without the call that failed.
+     *
+     * @param effect what the request's effect goes by, which tells the way that it came
+     */
+    List<CallGraph.Edge> calls(CallGraph.Node node, String effect) {
+        List<CallGraph.Edge> chosen = new ArrayList<>(4);
+        if (!node.calls().isEmpty()) {
+            Chance chance = Chance.of(seed, effect.substring(1));
+            for (CallGraph.Edge e : node.calls()) {
+                if (chance.happens(e.chance())) {
+                    chosen.add(e);
+                }
+            }
+        }
+        return chosen;
+    }
+
     /** A call that a request makes. */
     Hop hop(Handling above, CallGraph.Edge e) {
         int ofRequest = above.above == null ? above.request.classIndex : above.above.classIndex;
         int c = application.classOf(kind(ofRequest) == SAFE ? ofRequest : reading, ofRequest, e.reads());
-        String effect = application.effect(kind(c), above.above == null ? above.request.id : above.above.effect,
-                e.number());
+        String effect = application.effect(kind(c), above.above == null ? above.request.id
+                : above.above.effect, e.number());
         long endAt = application.endOf(above.endsAt, queue.now(),
                 spec.world().classes().get(c).type().deadlineUs(), spec.reserveUs());
         Hop hop = new Hop(this, e, above, c, effect, endAt);
@@ -395,7 +415,8 @@
         graph.audit.breaches().forEach(b -> all.add(b.toString()));
         for (World.Result r : results) {
             if (r != null) {
-                r.breaches().forEach(b -> all.add(String.format(Locale.ROOT, "%s: %s", r.scenario().name(), b)));
+                r.breaches().forEach(b -> all.add(String.format(Locale.ROOT, "%s: %s", r.scenario().name(),
+                        b)));
             }
         }
         return all;
--- a/src/main/java/mulleinfront/emulator/Handling.java
+++ b/src/main/java/mulleinfront/emulator/Handling.java
@@ -1,13 +1,12 @@
 package mulleinfront.emulator;
 
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 
 /**
- * A request at an application whose own work on it is done: the calls that it makes of other services, and its answer
- * when those have ended. While it waits for them it holds no core and no slot.
+ * A request at an application whose own work on it is done: the calls that it makes of other services, and
+ * its answer when those have ended. While it waits for them it holds no core and no slot.
  */
 final class Handling {
     /** The request from outside that it is a part of. */
@@ -20,7 +19,7 @@
     final int depth;
     private final GraphWorld graph;
     private final Done done;
-    private final List<CallGraph.Edge> chosen = new ArrayList<>(4);
+    private List<CallGraph.Edge> chosen;
     private final Set<Hop> open = new LinkedHashSet<>();
     private int next;
     private int pending;
@@ -33,7 +32,8 @@
         void done(ServerModel.End end);
     }
 
-    Handling(GraphWorld graph, GraphRequest request, Hop above, GraphMachine machine, long endsAt, Done done) {
+    Handling(GraphWorld graph, GraphRequest request, Hop above, GraphMachine machine, long endsAt,
+            Done done) {
         this.graph = graph;
         this.request = request;
         this.above = above;
@@ -50,11 +50,7 @@
     void begin() {
         machine.handlings.add(this);
         request.reached(depth);
-        for (CallGraph.Edge e : machine.node.calls()) {
-            if (graph.calls.happens(e.chance())) {
-                chosen.add(e);
-            }
-        }
+        chosen = graph.calls(machine.node, above == null ? request.id : above.effect);
         pending = chosen.size();
         if (machine.node.inTurn() || pending == 0) {
             nextInTurn();
