docs/CAPACITY.md and bench capacity: figures at the size worked out of slopes

A test holds that the page's tables are what docs/capacity.json gives; seen to fail with a slope changed and the page not.

--- /dev/null
+++ b/src/main/java/mulleinfront/bench/CapacityFile.java
@@ -0,0 +1,371 @@
+package mulleinfront.bench;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mulleinfront.capacity.Capacity;
+import mulleinfront.capacity.Figure;
+import mulleinfront.capacity.Fit;
+import mulleinfront.capacity.Need;
+import mulleinfront.capacity.Row;
+import mulleinfront.capacity.Size;
+import mulleinfront.capacity.Slope;
+import mulleinfront.settings.BadFileException;
+
+/** docs/capacity.json: the size, the slopes as measured, the rows and the mechanisms; one of each a line. */
+public final class CapacityFile {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private final Path file;
+
+    private CapacityFile(Path file) {
+        this.file = file;
+    }
+
+    /** @throws BadFileException with file, line and reason */
+    public static Capacity read(Path file) throws BadFileException {
+        return new CapacityFile(file).read();
+    }
+
+    private Capacity read() throws BadFileException {
+        Table root;
+        try (JsonParser in = JSON.createParser(Files.readAllBytes(file))) {
+            in.nextToken();
+            if (!(value(in) instanceof Table t) || in.nextToken() != null) {
+                throw new BadFileException(file + ": must be one object");
+            }
+            root = t;
+        } catch (JsonProcessingException e) {
+            throw new BadFileException(file + ":" + (e.getLocation() == null ? 1 : e.getLocation().getLineNr()) + ": "
+                    + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new BadFileException(file + ": can't be read");
+        }
+        Map<String, Double> size = new LinkedHashMap<>();
+        Table given = root.table("size");
+        for (String name : given.names()) {
+            size.put(name, given.number(name));
+        }
+        List<Slope> slopes = new ArrayList<>();
+        for (Table t : root.tables("slopes")) {
+            List<Fit.Point> points = new ArrayList<>();
+            for (Object p : t.list("points")) {
+                if (!(p instanceof List<?> two && two.size() == 2 && two.get(0) instanceof Double x
+                        && two.get(1) instanceof Double y)) {
+                    throw t.wrong("points must be pairs of size and figure");
+                }
+                points.add(new Fit.Point(x, y));
+            }
+            slopes.add(t.made(() -> new Slope(t.text("id"), t.text("what"), t.text("unit"), t.text("per"), points,
+                    t.text("command"))));
+        }
+        List<Row> rows = new ArrayList<>();
+        for (Table t : root.tables("rows")) {
+            List<Row.Cell> cells = new ArrayList<>();
+            for (Table c : t.tables("cells")) {
+                cells.add(cell(c));
+            }
+            rows.add(new Row(t.text("role"), t.text("part"), t.text("when"), t.text("mechanism"), cells));
+            t.done();
+        }
+        List<Need> needs = new ArrayList<>();
+        for (Table t : root.tables("needs")) {
+            needs.add(new Need(t.text("name"), t.text("rows"), t.texts("faults"), t.text("why")));
+            t.done();
+        }
+        root.has("figures"); // written for readers, worked out anew
+        root.done();
+        return root.made(() -> new Capacity(new Size(size), slopes, rows, needs));
+    }
+
+    private static Row.Cell cell(Table c) throws BadFileException {
+        List<Row.Term> terms = new ArrayList<>();
+        for (Table t : c.has("terms") ? c.tables("terms") : List.<Table>of()) {
+            terms.add(new Row.Term(t.text("slope"), t.text("at"), t.has("times") ? t.texts("times") : List.of()));
+            t.done();
+        }
+        Row.Cell cell = c.made(() -> new Row.Cell(Row.Measure.of(c.text("measure")), terms,
+                c.has("budget") ? c.text("budget") : null, c.has("source") ? c.text("source") : null,
+                c.has("given") ? c.number("given") : Double.NaN));
+        if (!Double.isNaN(cell.given()) && (cell.source() == null)) {
+            throw c.wrong("a given figure needs its source");
+        }
+        c.done();
+        return cell;
+    }
+
+    /** Writes all of it, with the figures that follow beside the rows. */
+    public static void write(Path file, Capacity all) throws IOException {
+        Files.writeString(file, text(all));
+    }
+
+    static String text(Capacity all) throws IOException {
+        List<String> slopes = new ArrayList<>();
+        for (Slope s : all.slopes()) {
+            slopes.add(object(out -> {
+                out.writeStringField("id", s.id());
+                out.writeStringField("what", s.what());
+                out.writeStringField("unit", s.unit());
+                out.writeStringField("per", s.per());
+                out.writeArrayFieldStart("points");
+                for (Fit.Point p : s.points()) {
+                    out.writeStartArray();
+                    number(out, p.x());
+                    number(out, p.y());
+                    out.writeEndArray();
+                }
+                out.writeEndArray();
+                out.writeStringField("command", s.command());
+            }));
+        }
+        List<String> rows = new ArrayList<>();
+        for (Row r : all.rows()) {
+            rows.add(object(out -> {
+                out.writeStringField("role", r.role());
+                out.writeStringField("part", r.part());
+                out.writeStringField("when", r.when());
+                out.writeStringField("mechanism", r.mechanism());
+                out.writeArrayFieldStart("cells");
+                for (Row.Cell c : r.cells()) {
+                    cell(out, c);
+                }
+                out.writeEndArray();
+            }));
+        }
+        List<String> needs = new ArrayList<>();
+        for (Need n : all.needs()) {
+            needs.add(object(out -> {
+                out.writeStringField("name", n.name());
+                out.writeStringField("rows", n.rows());
+                texts(out, "faults", n.faults());
+                out.writeStringField("why", n.why());
+            }));
+        }
+        List<String> figures = new ArrayList<>();
+        for (Figure f : all.figures()) {
+            figures.add(object(out -> {
+                out.writeStringField("row", f.row().role() + ", " + f.row().part() + ", " + f.row().when());
+                out.writeStringField("measure", f.cell().measure().word());
+                out.writeStringField("unit", f.cell().measure().unit());
+                out.writeFieldName("value");
+                number(out, f.value());
+                out.writeFieldName("budget");
+                number(out, f.budget());
+                out.writeFieldName("over");
+                out.writeBoolean(f.over());
+            }));
+        }
+        return "{\n\"size\": " + object(out -> {
+            for (var e : all.size().given().entrySet()) {
+                out.writeFieldName(e.getKey());
+                number(out, e.getValue());
+            }
+        }) + ",\n" + array("slopes", slopes) + ",\n" + array("rows", rows) + ",\n" + array("needs", needs) + ",\n"
+                + array("figures", figures) + "\n}\n";
+    }
+
+    private static void cell(JsonGenerator out, Row.Cell c) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("measure", c.measure().word());
+        if (!c.terms().isEmpty()) {
+            out.writeArrayFieldStart("terms");
+            for (Row.Term t : c.terms()) {
+                out.writeStartObject();
+                out.writeStringField("slope", t.slope());
+                out.writeStringField("at", t.at());
+                if (!t.times().isEmpty()) {
+                    texts(out, "times", t.times());
+                }
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+        }
+        if (!Double.isNaN(c.given())) {
+            out.writeFieldName("given");
+            number(out, c.given());
+        }
+        if (c.budget() != null) {
+            out.writeStringField("budget", c.budget());
+        }
+        if (c.source() != null) {
+            out.writeStringField("source", c.source());
+        }
+        out.writeEndObject();
+    }
+
+    private static void texts(JsonGenerator out, String name, List<String> all) throws IOException {
+        out.writeArrayFieldStart(name);
+        for (String s : all) {
+            out.writeString(s);
+        }
+        out.writeEndArray();
+    }
+
+    /** A number as short as it can be; what is not known is null. */
+    private static void number(JsonGenerator out, double value) throws IOException {
+        if (!Double.isFinite(value)) {
+            out.writeNull();
+        } else if (value == Math.rint(value) && Math.abs(value) < 1e15) {
+            out.writeNumber((long) value);
+        } else {
+            out.writeNumber(value);
+        }
+    }
+
+    private static String array(String name, List<String> lines) {
+        return "\"" + name + "\": [\n" + String.join(",\n", lines) + "\n]";
+    }
+
+    private interface Fields {
+        void write(JsonGenerator out) throws IOException;
+    }
+
+    private static String object(Fields fields) throws IOException {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = JSON.createGenerator(text)) {
+            out.writeStartObject();
+            fields.write(out);
+            out.writeEndObject();
+        }
+        return text.toString();
+    }
+
+    // ---- reading -------------------------------------------------------------------------------------
+
+    private Object value(JsonParser in) throws IOException {
+        switch (in.currentToken()) {
+            case START_OBJECT -> {
+                Table table = new Table(in.currentLocation().getLineNr());
+                while (in.nextToken() == JsonToken.FIELD_NAME) {
+                    String name = in.currentName();
+                    in.nextToken();
+                    table.fields.put(name, value(in));
+                }
+                return table;
+            }
+            case START_ARRAY -> {
+                List<Object> all = new ArrayList<>();
+                while (in.nextToken() != JsonToken.END_ARRAY) {
+                    all.add(value(in));
+                }
+                return all;
+            }
+            case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> {
+                return in.getDoubleValue();
+            }
+            case VALUE_STRING -> {
+                return in.getText();
+            }
+            default -> {
+                return "";
+            }
+        }
+    }
+
+    /** Makes something of a table's fields. */
+    private interface Maker<T> {
+        T make() throws BadFileException;
+    }
+
+    /** An object of the file and the line that it begins on. */
+    private final class Table {
+        private final int line;
+        private final Map<String, Object> fields = new LinkedHashMap<>();
+        private final Set<String> seen = new HashSet<>();
+
+        Table(int line) {
+            this.line = line;
+        }
+
+        BadFileException wrong(String what) {
+            return new BadFileException(file + ":" + line + ": " + what);
+        }
+
+        <T> T made(Maker<T> maker) throws BadFileException {
+            try {
+                return maker.make();
+            } catch (IllegalArgumentException e) {
+                throw wrong(e.getMessage());
+            }
+        }
+
+        Set<String> names() {
+            return fields.keySet();
+        }
+
+        boolean has(String name) {
+            seen.add(name);
+            return fields.containsKey(name);
+        }
+
+        String text(String name) throws BadFileException {
+            if (has(name) && fields.get(name) instanceof String s) {
+                return s;
+            }
+            throw wrong(name + " must be a text");
+        }
+
+        double number(String name) throws BadFileException {
+            if (has(name) && fields.get(name) instanceof Double d) {
+                return d;
+            }
+            throw wrong(name + " must be a number");
+        }
+
+        Table table(String name) throws BadFileException {
+            if (has(name) && fields.get(name) instanceof Table t) {
+                return t;
+            }
+            throw wrong(name + " must be an object");
+        }
+
+        List<?> list(String name) throws BadFileException {
+            if (has(name) && fields.get(name) instanceof List<?> l) {
+                return l;
+            }
+            throw wrong(name + " must be a list");
+        }
+
+        List<Table> tables(String name) throws BadFileException {
+            List<Table> all = new ArrayList<>();
+            for (Object o : list(name)) {
+                if (!(o instanceof Table t)) {
+                    throw wrong(name + " must hold objects");
+                }
+                all.add(t);
+            }
+            return all;
+        }
+
+        List<String> texts(String name) throws BadFileException {
+            List<String> all = new ArrayList<>();
+            for (Object o : list(name)) {
+                if (!(o instanceof String s)) {
+                    throw wrong(name + " must hold texts");
+                }
+                all.add(s);
+            }
+            return all;
+        }
+
+        void done() throws BadFileException {
+            for (String name : fields.keySet()) {
+                if (!seen.contains(name)) {
+                    throw wrong("unknown key " + name);
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/mulleinfront/bench/Child.java
+++ b/src/main/java/mulleinfront/bench/Child.java
@@ -35,16 +35,17 @@
     /**
      * The process's entry.
      *
-     * @param args {@code hosts COUNT MICROS}, {@code relay PORT} or {@code proxy CONFIG-JSON LOOPS}
+     * @param args {@code hosts COUNT MICROS}, {@code timed COUNT MICROS}, {@code relay PORT} or {@code proxy CONFIG-JSON LOOPS}
      */
     public static void main(String... args) throws Exception {
         String ports;
         switch (args[0]) {
-            case "hosts" -> {
+            case "hosts", "timed" -> {
                 EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
                 List<String> all = new ArrayList<>();
                 for (int i = 0; i < Integer.parseInt(args[1]); i++) {
-                    all.add("" + StandIn.host(group, Long.parseLong(args[2])));
+                    long micros = Long.parseLong(args[2]);
+                    all.add("" + (args[0].equals("timed") ? TimedHost.listen(group, micros) : StandIn.host(group, micros)));
                 }
                 ports = String.join(",", all);
             }
--- a/src/main/java/mulleinfront/bench/Throughput.java
+++ b/src/main/java/mulleinfront/bench/Throughput.java
@@ -11,7 +11,7 @@
 public final class Throughput {
     private static final int HOSTS = 12;
     /** As in the deployed run line: small heap, first compiler only, one collector thread. */
-    private static final List<String> DEPLOYED = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms24m",
+    static final List<String> DEPLOYED = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms24m",
             "-Xmx96m", "-Dio.netty.jfr.enabled=false");
 
     private final PrintWriter out;
@@ -106,7 +106,7 @@
         }
     }
 
-    private static String config(List<Integer> ports) {
+    static String config(List<Integer> ports) {
         List<String> servers = new ArrayList<>();
         for (int port : ports) {
             servers.add("{\"id\":\"s" + servers.size() + "\",\"addr\":\"127.0.0.1:" + port + "\",\"zone\":\"a\","
--- a/src/main/java/mulleinfront/cli/Bench.java
+++ b/src/main/java/mulleinfront/cli/Bench.java
@@ -22,7 +22,7 @@
 
 /** {@code bench}: measurements that anyone can repeat; no test depends on them. */
 @Command(name = "bench", mixinStandardHelpOptions = true, subcommands = {Bench.Emulator.class, Bench.Module.class,
-        Bench.OnSockets.class},
+        Bench.OnSockets.class, CapacityCommand.class},
         description = "Measures this program on this machine.")
 final class Bench implements Runnable {
     @Spec
--- a/src/test/java/mulleinfront/LayersTest.java
+++ b/src/test/java/mulleinfront/LayersTest.java
@@ -121,6 +121,14 @@
                 .dependOnClassesThat().resideInAPackage("mulleinfront.kit..").check(MAIN);
     }
 
+    @Test
+    void capacityIsArithmeticAndKnowsItselfOnly() {
+        classes().that().resideInAPackage("mulleinfront.capacity").should().onlyDependOnClassesThat(
+                JavaClass.Predicates.resideInAnyPackage("mulleinfront.capacity", "java.lang..", "java.math", "java.util",
+                        "java.util.function", "java.util.stream")).check(MAIN);
+        withoutIo(JavaClass.Predicates.resideInAPackage("mulleinfront.capacity")).check(MAIN);
+    }
+
     @Test
     void theseChecksCanFail() {
         // The socket wire does what the core may not: the same rules on it must find that.
--- /dev/null
+++ b/src/test/java/mulleinfront/bench/CapacityPageTest.java
@@ -0,0 +1,98 @@
+package mulleinfront.bench;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import mulleinfront.capacity.Capacity;
+import mulleinfront.capacity.Fit;
+import mulleinfront.capacity.Page;
+import mulleinfront.capacity.Row;
+import mulleinfront.capacity.Slope;
+import mulleinfront.core.Wire;
+import mulleinfront.settings.BadFileException;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The page and the slopes that are committed with it say the same. */
+class CapacityPageTest {
+    private static final Path PAGE = Path.of("docs/CAPACITY.md");
+    private static final Path FILE = Path.of("docs/capacity.json");
+
+    @TempDir
+    private Path folder;
+
+    @Test
+    void thePagesFiguresAreWhatTheCommittedSlopesGive() throws IOException, BadFileException {
+        String page = Files.readString(PAGE);
+        assertEquals(new Page(CapacityFile.read(FILE)).fill(page), page,
+                "run: bench capacity --as-held --json docs/capacity.json --page docs/CAPACITY.md");
+        assertEquals(CapacityFile.text(CapacityFile.read(FILE)), Files.readString(FILE),
+                "run: bench capacity --as-held --json docs/capacity.json --page docs/CAPACITY.md");
+    }
+
+    @Test
+    void aChangedSlopeWithoutAChangedPageIsFound() throws IOException, BadFileException {
+        String page = Files.readString(PAGE);
+        Capacity held = CapacityFile.read(FILE);
+        Set<String> used = held.rows().stream().flatMap(r -> r.cells().stream()).flatMap(c -> c.terms().stream())
+                .map(Row.Term::slope).collect(Collectors.toSet());
+        assertTrue(held.slopes().size() > 10, "slopes: " + held.slopes().size());
+        for (Slope s : held.slopes()) {
+            assertTrue(used.contains(s.id()) || page.contains("`" + s.id() + "`"), s.id() + " is nowhere on the page");
+            List<Fit.Point> other = s.points().stream().map(p -> new Fit.Point(p.x(), 1 + 1.5 * p.y())).toList();
+            Capacity changed = held.with(List.of(new Slope(s.id(), s.what(), s.unit(), s.per(), other, s.command())));
+            assertNotEquals(page, new Page(changed).fill(page), s.id());
+        }
+    }
+
+    @Test
+    void eachSlopeSaysWhichCommandMeasuresIt() throws BadFileException {
+        for (Slope s : CapacityFile.read(FILE).slopes()) {
+            assertTrue(s.command().startsWith("bench capacity") || s.command().startsWith("emulate")
+                    || s.command().startsWith("kit "), s.id() + ": " + s.command());
+            assertTrue(s.points().size() >= Fit.LEAST_POINTS, s.id());
+        }
+    }
+
+    @Test
+    void whatComesFromAConstantIsThatConstant() throws BadFileException {
+        List<Row.Cell> silences = CapacityFile.read(FILE).rows().stream().flatMap(r -> r.cells().stream())
+                .filter(c -> "Wire.SILENCE_US".equals(c.source())).toList();
+        assertTrue(!silences.isEmpty());
+        silences.forEach(c -> assertEquals(Wire.SILENCE_US / 1e6, c.given()));
+    }
+
+    @Test
+    void whatIsReadIsWrittenBack() throws IOException, BadFileException {
+        Path copy = folder.resolve("copy.json");
+        Capacity held = CapacityFile.read(FILE);
+        CapacityFile.write(copy, held);
+        assertEquals(held.figures(), CapacityFile.read(copy).figures());
+        assertEquals(held.slopes(), CapacityFile.read(copy).slopes());
+    }
+
+    @Test
+    void aBadFileIsOneLineWithItsPlace() throws IOException {
+        String good = Files.readString(FILE);
+        String[][] cases = {{"\"hosts\":670", "\"hosts\":0", "hosts must be above 0"},
+            {"\"rows\": [", "\"rows\": [\n{\"role\": 5, \"cells\": []},", "role must be a text"},
+            {"\"rows\": [", "\"row\": [", "rows must be a list"},
+            {"\"id\":\"lists.full.bytes\"", "\"id\":\"lists.full.other\"", "there is no slope lists.full.bytes"},
+            {"\"slopes\": [", "\"slopes\": {", "expect"}};
+        for (String[] c : cases) {
+            assertTrue(good.contains(c[0]), c[0]);
+            Path file = Files.writeString(folder.resolve("bad.json"), good.replace(c[0], c[1]));
+            String said = assertThrows(BadFileException.class, () -> CapacityFile.read(file)).getMessage();
+            assertTrue(said.startsWith(file.toString()) && said.contains(c[2]) && !said.contains("\n"), said);
+        }
+        assertThrows(BadFileException.class, () -> CapacityFile.read(folder.resolve("none.json")));
+    }
+}
