--- a/src/main/java/mulleinfront/bench/MembershipCost.java
+++ b/src/main/java/mulleinfront/bench/MembershipCost.java
@@ -1,10 +1,12 @@
 package mulleinfront.bench;
 
+import java.io.PrintWriter;
 import java.lang.management.ManagementFactory;
 import java.lang.ref.Reference;
 import java.util.Arrays;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Locale;
 import mulleinfront.capacity.Slope;
 import mulleinfront.emulator.FleetRun;
 import mulleinfront.emulator.PeerFaults;
@@ -64,13 +66,17 @@
     /**
      * Measures fleets of these sizes, one seed each.
      *
+     * @param progress a line for each size
      * @param rack hosts of a rack as a part of the fleet
      */
-    public static List<Slope> measure(int[] sizes, long seed, double rack, int zones, String command) {
+    public static List<Slope> measure(PrintWriter progress, int[] sizes, long seed, double rack, int zones, String command) {
         Measured out = new Measured("client proxies", command);
         new MembershipCost(sizes[0], seed, rack, zones, new Measured("", "")).play();
         for (int n : sizes) {
+            long from = cpu();
             new MembershipCost(n, seed, rack, zones, out).play();
+            progress.printf(Locale.ROOT, "membership of %d: %.0f s of processor time%n", n, (cpu() - from) / 1e9);
+            progress.flush();
         }
         return out.slopes();
     }
--- a/src/main/java/mulleinfront/capacity/Page.java
+++ b/src/main/java/mulleinfront/capacity/Page.java
@@ -110,15 +110,15 @@
     }
 
     private String slopes() {
-        StringBuilder out = new StringBuilder("| slope | what | measured | fit | at the size's hosts |\n"
+        StringBuilder out = new StringBuilder("| slope | what | measured | fit | at the size |\n"
                 + "| --- | --- | --- | --- | --- |\n");
         for (Slope s : all.slopes()) {
             Fit fit = all.fit(s.id());
             StringBuilder points = new StringBuilder();
             s.points().forEach(p -> points.append(points.isEmpty() ? "" : ", ").append(number(p.x())).append(": ")
                     .append(number(p.y())));
-            boolean calls = s.per().equals("calls a second");
-            String at = calls ? number(fit.at(all.size().of("calls-per-proxy"))) + "; "
+            String at = s.per().equals("services") ? number(fit.at(all.size().of("services"))) + " (services)"
+                    : s.per().equals("calls a second") ? number(fit.at(all.size().of("calls-per-proxy"))) + "; "
                     + number(fit.at(all.size().of("calls-per-proxy-deep"))) + " (calls)"
                     : number(fit.at(all.size().of("hosts")));
             line(out, "`" + s.id() + "`", s.what() + ", " + s.unit() + ", by " + s.per(), points.toString(), fit.text(), at);
--- a/src/main/java/mulleinfront/cli/CapacityCommand.java
+++ b/src/main/java/mulleinfront/cli/CapacityCommand.java
@@ -17,6 +17,7 @@
 import mulleinfront.bench.IdleCost;
 import mulleinfront.bench.ListCost;
 import mulleinfront.bench.MembershipCost;
+import mulleinfront.bench.SnapshotCost;
 import mulleinfront.capacity.Capacity;
 import mulleinfront.capacity.Figure;
 import mulleinfront.capacity.Fit;
@@ -67,6 +68,14 @@
             description = "calls a second to measure the data path at (default ${DEFAULT-VALUE})")
     private int[] rates;
 
+    @Option(names = "--services", split = ",", paramLabel = "N", defaultValue = "10,20,40,77,154",
+            description = "numbers of services to measure a configuration at (default ${DEFAULT-VALUE})")
+    private int[] services;
+
+    @Option(names = "--sample", paramLabel = "FILE", defaultValue = "deploy/sample-config.json",
+            description = "whose settings stand for each service's (default ${DEFAULT-VALUE})")
+    private Path sample;
+
     @Option(names = "--requests", paramLabel = "N", defaultValue = "1000",
             description = "calls measured at each rate, at the least (default ${DEFAULT-VALUE})")
     private int requests;
@@ -80,7 +89,7 @@
 
     @Override
     public Integer call() throws BadFileException, IOException, InterruptedException {
-        for (int[] sizes : List.of(at, rates)) {
+        for (int[] sizes : List.of(at, rates, services)) {
             if (Arrays.stream(sizes).distinct().count() < Fit.LEAST_POINTS || Arrays.stream(sizes).anyMatch(n -> n < 10)) {
                 throw new ParameterException(spec.commandLine(), "a slope needs " + Fit.LEAST_POINTS
                         + " sizes or more, each of 10 at least");
@@ -128,12 +137,15 @@
         String again = "bench capacity --role ";
         List<Slope> measured = new ArrayList<>();
         if (groups.contains("membership")) {
-            measured.addAll(MembershipCost.measure(at, seed, all.size().of("rack-hosts") / all.size().of("hosts"),
+            measured.addAll(MembershipCost.measure(out, at, seed, all.size().of("rack-hosts") / all.size().of("hosts"),
                     (int) all.size().of("zones"), again + "membership"));
         }
         if (groups.contains("lists")) {
             measured.addAll(ListCost.measure(at, again + "lists"));
         }
+        if (groups.contains("configuration")) {
+            measured.addAll(SnapshotCost.measure(services, sample, again + "configuration"));
+        }
         if (groups.contains("idle")) {
             measured.addAll(IdleCost.measure(at, again + "process"));
         }
