--- a/src/main/java/mulleinfront/bench/IdleCost.java
+++ b/src/main/java/mulleinfront/bench/IdleCost.java
@@ -100,7 +100,8 @@
                 + "\"balancers\":670,\"membershipMode\":\"subscribe\",\"classes\":[{\"name\":\"lookup\","
                 + "\"effect\":\"retryable\",\"onTimeUs\":500000,\"deadlineUs\":5000000,\"worth\":1}],"
                 + "\"limits\":{\"maxAttempts\":4,\"mayCancel\":true,\"mayProbe\":true,\"retryAfter\":true,"
-                + "\"maxRetryAfterUs\":2000000,\"connIdleUs\":5000000},\"contract\":{\"askWithinUs\":10000000}}}";
+                + "\"maxRetryAfterUs\":2000000,\"connIdleUs\":5000000},"
+                + "\"contract\":{\"askWithinUs\":10000000}}}";
     }
 
     /** Discovery for one: the whole list, then heartbeats. */
