--- a/src/test/java/mulleinfront/emulator/SizeScenariosTest.java
+++ b/src/test/java/mulleinfront/emulator/SizeScenariosTest.java
@@ -12,9 +12,9 @@
 import mulleinfront.settings.BadFileException;
 import org.junit.jupiter.api.Test;
 
-/** The size as data: one world, and a scenario for each of the faults that the page has rows for. */
+/** The size as data, with all hosts in one service: one world, and a scenario for each of the faults that the page has rows for. */
 class SizeScenariosTest {
-    private static final Path FOLDER = Path.of("scenarios/size");
+    private static final Path FOLDER = Path.of("scenarios/size/one-service");
 
     @Test
     void allStandOnTheOneWorldOfTheSize() throws IOException, BadFileException {
