The measuring worlds of the bench name no zone of any site

OwnNamesTest found the name of a site's zone in two new measurements of the bench; they say zone-a now. Lists keep their length within a few bytes.

--- a/src/main/java/mulleinfront/bench/IdleCost.java
+++ b/src/main/java/mulleinfront/bench/IdleCost.java
@@ -96,7 +96,7 @@
     private static String config(int discovery) {
         return "{\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery
                 + "\",\"seed\":\"1\",\"limits\":"
-                + "{\"sockets\":1024},\"settings\":{\"azs\":[\"bayanzurkh\"],\"kinds\":[\"new\"],"
+                + "{\"sockets\":1024},\"settings\":{\"azs\":[\"zone-a\"],\"kinds\":[\"new\"],"
                 + "\"balancers\":670,\"membershipMode\":\"subscribe\",\"classes\":[{\"name\":\"lookup\","
                 + "\"effect\":\"retryable\",\"onTimeUs\":500000,\"deadlineUs\":5000000,\"worth\":1}],"
                 + "\"limits\":{\"maxAttempts\":4,\"mayCancel\":true,\"mayProbe\":true,\"retryAfter\":true,"
--- a/src/main/java/mulleinfront/bench/ListCost.java
+++ b/src/main/java/mulleinfront/bench/ListCost.java
@@ -37,7 +37,7 @@
     private static String entry(int i, int life, String state) {
         return "{\"id\":\"server-" + i + "-" + life + "\",\"addr\":\"10." + i / 60000 + "." + i / 250 % 240
                 + "."
-                + (1 + i % 250) + ":9001\",\"zone\":\"bayanzurkh\",\"kind\":\"new\",\"cell\":" + i % 8
+                + (1 + i % 250) + ":9001\",\"zone\":\"zone-a\",\"kind\":\"new\",\"cell\":" + i % 8
                 + ",\"state\":\"" + state + "\",\"weight\":1.0,\"started_ms\":1796083200000}";
     }
 
