--- a/src/test/java/mulleinfront/emulator/ColdHostsTest.java
+++ b/src/test/java/mulleinfront/emulator/ColdHostsTest.java
@@ -8,21 +8,18 @@
 import java.util.Locale;
 import java.util.Map;
 import mulleinfront.Balancer;
-import mulleinfront.Balancer.AttemptEnd;
 import mulleinfront.Balancer.Endpoint;
-import mulleinfront.Balancer.Outcome;
 import mulleinfront.Balancer.Request;
 import mulleinfront.Balancer.Settings;
-import mulleinfront.Balancer.Source;
 import mulleinfront.core.Core;
 import mulleinfront.settings.BadFileException;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * A cold host is not pushed over by the sum of all client proxies: what all that were told of its start send it within
- * the stated time stays under N + 2 x root of N + 2 requests of mean work, N being what the settings allow it then.
- * First attempts and further ones, keys that spill and what new instances send first are all counted, as decided.
+ * A cold host is not pushed over by the sum of all client proxies: what all that were told of its start send
+ * it within the stated time stays under N + 2 x root of N + 2 requests of mean work, N being what settings
+ * allow it then. First attempts, further ones, keys that spill and first requests of new instances all count.
  */
 class ColdHostsTest {
     /** What was decided to be sent to each cold host, over all instances. */
@@ -36,12 +33,9 @@
         private long counted;
 
         Core.Maker around(double balancers) {
-            return (settings, seed, now, actions) -> {
-                Settings told = new Settings(settings.classes(), settings.tenantShares(), settings.overShareWorth(),
-                        (int) Math.max(1, Math.round(settings.instances() * balancers)), settings.probePrice(),
-                        settings.subscribe(), settings.weightsVary(), settings.limits(), settings.contract());
-                return new Metered(this, told, seed, now, actions);
-            };
+            return Noted.maker(s -> new Settings(s.classes(), s.tenantShares(), s.overShareWorth(),
+                    (int) Math.max(1, Math.round(s.instances() * balancers)), s.probePrice(), s.subscribe(),
+                    s.weightsVary(), s.limits(), s.contract()), () -> new Instance(this));
         }
 
         void sent(String id, long startedAt, double workUs, long now) {
@@ -52,7 +46,8 @@
                 return;
             }
             counted++;
-            ArrayDeque<double[]> window = sent.computeIfAbsent(id + " of " + host.startedAt, h -> new ArrayDeque<>());
+            ArrayDeque<double[]> window = sent.computeIfAbsent(id + " of " + host.startedAt,
+                    h -> new ArrayDeque<>());
             window.add(new double[] {now, workUs / mean, startedAt == host.startedAt ? 1 : 0});
             long forUs = world.scenario.rules().coldForUs();
             while (window.peek()[0] <= now - forUs) {
@@ -65,121 +60,40 @@
             double bound = n + 2 * Math.sqrt(n) + 2;
             if (byTold * 3 > sum * 2 && sum / bound > most) {
                 most = sum / bound;
-                where = String.format(Locale.ROOT, "%s, %.2f s after its start: %.1f of %.1f (N %.1f), %.0f%% by those"
-                        + " who were told", id, (now - host.startedAt) / 1e6, sum, bound, n, 100 * byTold / sum);
+                where = String.format(Locale.ROOT, "%s, %.2f s after its start: %.1f of %.1f (N %.1f), "
+                        + "%.0f%% by those who were told", id, (now - host.startedAt) / 1e6, sum, bound, n,
+                        100 * byTold / sum);
             }
         }
     }
 
-    /** The real module, its sends noted. */
-    private static final class Metered implements Balancer {
-        private final Balancer module;
+    /** What one instance was told and sent. */
+    private static final class Instance implements Noted.Notes {
+        private final Meter meter;
         private final Map<String, Double> work = new HashMap<>();
         private final Map<String, Long> started = new HashMap<>();
-        private final Meter meter;
-        private long now;
 
-        Metered(Meter meter, Settings settings, long seed, long at, Actions actions) {
+        Instance(Meter meter) {
             this.meter = meter;
-            this.now = at;
-            this.module = Balancer.create(settings, seed, at, new Actions() {
-                @Override
-                public void send(String requestId, String endpointId, long timeoutUs) {
-                    meter.sent(endpointId, started.get(endpointId), work.get(requestId), now);
-                    actions.send(requestId, endpointId, timeoutUs);
-                }
-
-                @Override
-                public void refuse(String requestId, long retryAfterUs) {
-                    actions.refuse(requestId, retryAfterUs);
-                }
-
-                @Override
-                public void fail(String requestId) {
-                    actions.fail(requestId);
-                }
-
-                @Override
-                public void cancel(String requestId, int attempt) {
-                    actions.cancel(requestId, attempt);
-                }
-
-                @Override
-                public void probe(String endpointId) {
-                    actions.probe(endpointId);
-                }
-
-                @Override
-                public void subscribe() {
-                    actions.subscribe();
-                }
-
-                @Override
-                public void wakeAt(long atUs) {
-                    actions.wakeAt(atUs);
-                }
-            });
-        }
-
-        @Override
-        public void onEndpoints(long at, Source source, List<Endpoint> endpoints) {
-            now = at;
-            endpoints.forEach(e -> started.put(e.id(), e.startedAtUs()));
-            module.onEndpoints(at, source, endpoints);
-        }
-
-        @Override
-        public void onDiscoveryFailed(long at) {
-            now = at;
-            module.onDiscoveryFailed(at);
         }
 
         @Override
-        public void onRequest(long at, Request request) {
-            now = at;
-            work.put(request.id(), meter.world.scenario.classes().get(request.classIndex()).workUs());
-            module.onRequest(at, request);
-        }
-
-        @Override
-        public void onRequestGone(long at, String requestId) {
-            now = at;
-            module.onRequestGone(at, requestId);
-        }
-
-        @Override
-        public void onStreamStarted(long at, String requestId, int attempt) {
-            now = at;
-            module.onStreamStarted(at, requestId, attempt);
-        }
-
-        @Override
-        public void onReport(long at, String endpointId, double held) {
-            now = at;
-            module.onReport(at, endpointId, held);
-        }
-
-        @Override
-        public void observe(Observer observer) {
-            module.observe(observer);
-        }
-
-        @Override
-        public void onAttemptEnded(long at, AttemptEnd end) {
-            now = at;
-            module.onAttemptEnded(at, end);
-        }
-
-        @Override
-        public void onProbeEnded(long at, String endpointId, Outcome outcome, long lagUs) {
-            now = at;
-            module.onProbeEnded(at, endpointId, outcome, lagUs);
+        public void told(long now, String event, Object[] args) {
+            if (event.equals("onEndpoints")) {
+                for (Object e : (List<?>) args[2]) {
+                    started.put(((Endpoint) e).id(), ((Endpoint) e).startedAtUs());
+                }
+            } else if (event.equals("onRequest")) {
+                Request request = (Request) args[1];
+                work.put(request.id(), meter.world.scenario.classes().get(request.classIndex()).workUs());
+            }
         }
 
         @Override
-        public void onTimer(long at) {
-            now = at;
-            module.onTimer(at);
+        public void decided(long now, String action, Object[] args) {
+            if (action.equals("send")) {
+                meter.sent((String) args[1], started.get(args[1]), work.get(args[0]), now);
+            }
         }
     }
 
@@ -196,7 +110,7 @@
             """;
 
     /**
-     * Sixty hosts of two kinds, keys, and a release, a crash of some or a zone that returns cold, under a burst.
+     * Sixty hosts of two kinds, keys, and a release, a crash or a zone that is back cold, under a burst.
      *
      * @param small whether hosts are so small that a cold one is allowed a dozen requests, not fifty
      */
@@ -269,10 +183,11 @@
                     """);
 
     @ParameterizedTest
-    @CsvSource({"crash, 24, 1, false", "deploy, 100, 1, false", "deploy, 670, 1, false", "all-anew, 670, 1, false",
-            "zone, 24, 1, true", "all-anew, 100, 1, true", "zone, 670, 1, true",
+    @CsvSource({"crash, 24, 1, false", "deploy, 100, 1, false", "deploy, 670, 1, false",
+            "all-anew, 670, 1, false", "zone, 24, 1, true", "all-anew, 100, 1, true", "zone, 670, 1, true",
             // Settings that are wrong by half: of 24 instances each takes itself for one of 12, or of 48.
-            "zone, 24, 0.5, true", "all-anew, 24, 0.5, false", "all-anew, 24, 2, true", "zone, 670, 0.5, true"})
+            "zone, 24, 0.5, true", "all-anew, 24, 0.5, false", "all-anew, 24, 2, true",
+            "zone, 670, 0.5, true"})
     void theSumOfAllStaysUnderWhatAColdHostBears(String fault, int proxies, double balancers, boolean small)
             throws Exception {
         Scenario s = scenario(small, small ? "85%" : "60%", FAULTS.get(fault)).withProxies(proxies);
--- a/src/test/java/mulleinfront/proxy/IdleClientsTest.java
+++ b/src/test/java/mulleinfront/proxy/IdleClientsTest.java
@@ -27,8 +27,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Idle clients fill the descriptors while discovery is down: the whole program, held by the system to the limit that
- * its configuration names, so that one descriptor too many of clients would be one too few for discovery or a host.
+ * Idle clients fill the descriptors while discovery is down: the whole program, held by the system to the
+ * limit that its configuration names, so that one too many of clients is one too few for discovery or a host.
  */
 class IdleClientsTest {
     /** Descriptors that the configuration of {@link Peers#config} grants. */
@@ -64,9 +64,10 @@
         port = ServeTest.freePort();
         Path file = folder.resolve("config.json");
         Files.writeString(file, Peers.config(port, discovery, "", known));
-        // The JVM of a test holds a descriptor for each part of its class path, where the deployed one has one jar.
+        // The JVM of a test holds a descriptor for each part of its class path; the deployed one has one jar.
         int limit = SOCKETS + System.getProperty("java.class.path").split(File.pathSeparator).length;
-        List<String> command = new ArrayList<>(List.of("/bin/sh", "-c", "ulimit -n " + limit + " && exec \"$@\"", "sh"));
+        List<String> command = new ArrayList<>(List.of("/bin/sh", "-c", "ulimit -n " + limit
+                + " && exec \"$@\"", "sh"));
         command.addAll(ServeTest.command());
         ProcessBuilder builder = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.INHERIT);
         builder.environment().put("NODE_CONFIG", file.toString());
@@ -100,8 +101,8 @@
     }
 
     /**
-     * A request of a client that comes again where its connection is closed on unread, as one in a crowd may be; more
-     * of those that say nothing come before each try.
+     * A request of a client that comes again where its connection is closed on unread, as may be in a crowd;
+     * more of those that say nothing come before each try.
      */
     private Message ask(String id) throws Exception {
         for (int i = 0;; i++) {
@@ -144,18 +145,20 @@
             most = Math.max(most, sockets());
         }
         assertEquals(404, last.read().status());
-        assertTrue(most <= MOST_CLIENTS + ClientProxy.OWN_SOCKETS, most + " sockets: nothing is left for others");
+        assertTrue(most <= MOST_CLIENTS + ClientProxy.OWN_SOCKETS,
+                most + " sockets: nothing is left for others");
 
         try (ServerSocket back = new ServerSocket(at, 50, InetAddress.getLoopbackAddress())) {
             crowd();
             back.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Peers.PATIENCE_S));
             Socket call = keep(back.accept());
             crowd();
-            assertTrue(Peers.read(call.getInputStream()).first().startsWith("GET /api/targets"), "discovery is called");
+            assertTrue(Peers.read(call.getInputStream()).first().startsWith("GET /api/targets"));
             String now = Peers.list(2, true, Peers.host("old", old.address(), "terminating"),
                     Peers.host("fresh", fresh.address(), "in_service")) + "\n";
             call.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    + Integer.toHexString(now.length()) + "\r\n" + now + "\r\n").getBytes(StandardCharsets.US_ASCII));
+                    + Integer.toHexString(now.length()) + "\r\n" + now + "\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
             crowd();
             open.forEach(s -> s.served("old"));
             for (Client client : busy) {
