Lines of the configuration's packages within 110 characters

Need: the rule of 110 was kept in few of the new files. Layout alone; LayersTest, DifferenceTest, ControlFileTest, HandoutHardTest, ConfigServeTest, ServeTest, FleetServeTest, DiscoveryTest, OwnNamesTest and ShapeTest pass.

--- a/src/main/java/mulleinfront/cli/KeepCommand.java
+++ b/src/main/java/mulleinfront/cli/KeepCommand.java
@@ -24,17 +24,21 @@
 
 /** {@code keep}: one of three control machines, until it is ended. */
 @Command(name = "keep", mixinStandardHelpOptions = true,
-        description = "One of three control machines: decides versions of the fleet's configuration with the others,"
+        description =
+                "One of three control machines: decides versions of the fleet's configuration with the"
+                + " others,"
                 + " keeps them and hands them out.",
         footer = {"", "Exit codes: 0 ended by SIGTERM; 1 it can't go on; 2 bad input."})
 final class KeepCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--config", required = true, paramLabel = "FILE", description = "such as deploy/control.toml")
+    @Option(names = "--config", required = true, paramLabel = "FILE",
+            description = "such as deploy/control.toml")
     private Path config;
 
-    @Option(names = "--me", required = true, paramLabel = "N", description = "which [[machine]] it is, from 1")
+    @Option(names = "--me", required = true, paramLabel = "N",
+            description = "which [[machine]] it is, from 1")
     private int me;
 
     @Option(names = "--dir", required = true, paramLabel = "DIR",
--- a/src/main/java/mulleinfront/config/Difference.java
+++ b/src/main/java/mulleinfront/config/Difference.java
@@ -8,7 +8,8 @@
 import java.util.TreeSet;
 
 /**
- * What has to be done to one version to get another. Over {@link Version#NONE}, which all know, it is the whole.
+ * What has to be done to one version to get another. Over {@link Version#NONE}, which all know, it is the
+ * whole.
  *
  * @param from the version that it stands on; 0: none, it is the whole
  * @param to the version that it leads to
@@ -18,7 +19,8 @@
  * @param decidedAtMillis of the new version, for people
  * @param checksum the new version's, whole
  */
-public record Difference(long from, long to, SortedMap<String, String> changed, SortedSet<String> removed, String why,
+public record Difference(long from, long to, SortedMap<String, String> changed, SortedSet<String> removed,
+        String why,
         long decidedAtMillis, long checksum) {
 
     public Difference {
@@ -71,7 +73,8 @@
     public Version on(Version held) throws MisfitException {
         Version base = isWhole() ? Version.NONE : held;
         if (base.number() != from) {
-            throw new MisfitException("a difference from version " + from + " to " + to + " on version " + base.number());
+            throw new MisfitException("a difference from version " + from + " to " + to + " on version "
+                    + base.number());
         }
         TreeMap<String, String> entries = new TreeMap<>(base.entries());
         entries.keySet().removeAll(removed);
--- a/src/main/java/mulleinfront/config/Follower.java
+++ b/src/main/java/mulleinfront/config/Follower.java
@@ -3,8 +3,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * A client proxy's side: watches one control machine at a time, takes a version whole or not at all and never an older
- * one, goes on by the last good one while there is none to hear, and says which it is at.
+ * A client proxy's side: watches one control machine at a time, takes a version whole or not at all and never
+ * an older one, goes on by the last good one while there is none to hear, and says which it is at.
  *
  * <p>Owned by one event loop, whose time is passed in, in microseconds.
  */
@@ -243,7 +243,8 @@
         } else if (failures < order.length) {
             spread = settings.spreadUs() / 4;
         } else {
-            spread = Math.min(settings.mostRetryUs(), settings.retryUs() << Math.min(10, failures - order.length));
+            spread = Math.min(settings.mostRetryUs(), settings.retryUs() << Math.min(10,
+                    failures - order.length));
         }
         nextTryUs = now + random.nextLong(spread);
         wake(now);
--- a/src/main/java/mulleinfront/config/FollowerSettings.java
+++ b/src/main/java/mulleinfront/config/FollowerSettings.java
@@ -17,6 +17,7 @@
 
     /** Times that keep the bound of 6 s; see the design note for the sum. */
     public static FollowerSettings usual(int machines) {
-        return new FollowerSettings(machines, 1_500_000, 500_000, 1_000_000, 500_000, 2_000_000, 1_000_000, 2_000_000);
+        return new FollowerSettings(machines, 1_500_000, 500_000, 1_000_000, 500_000, 2_000_000, 1_000_000,
+                2_000_000);
     }
 }
--- a/src/main/java/mulleinfront/config/Handout.java
+++ b/src/main/java/mulleinfront/config/Handout.java
@@ -7,9 +7,10 @@
 import java.util.Map;
 
 /**
- * The serving side of a control machine: what each reader has, what it is sent, and at which pace. A reader that is
- * behind gets one difference to the newest version. It costs a fixed number of bytes and a part of one line that is
- * shared by all who stand where it stands; one that does not read is given up and holds up nobody.
+ * The serving side of a control machine: what each reader has, what it is sent, and at which pace. A reader
+ * that is behind gets one difference to the newest version. It costs a fixed number of bytes and a part of
+ * one line that is shared by all who stand where it stands; one that does not read is given up and holds up
+ * nobody.
  *
  * <p>Owned by one event loop, whose time is passed in, in microseconds.
  */
@@ -28,7 +29,10 @@
         /** How a difference is written, with its end. */
         byte[] line(Difference difference);
 
-        /** How it is written that this machine is there, what it has and whether it is in touch with a majority. */
+        /**
+         * How it is written that this machine is there, what it has and whether it is in touch with a
+         * majority.
+         */
         byte[] heartbeat(long newest, boolean inTouch);
 
         /** Sends a part of a line; parts of one line come in their order. */
@@ -46,7 +50,8 @@
      *
      * @param name the reader's
      * @param at the version that it last said it has in force
-     * @param same whether what it has is this machine's version of that number; true also if that is held no longer
+     * @param same whether what it has is this machine's version of that number; true also if that is held no
+     *        longer
      * @param sent the version that it will have once it has read all that it was sent
      * @param watching whether its watch is open here
      * @param heardUs when it was last heard
--- a/src/main/java/mulleinfront/config/Ledger.java
+++ b/src/main/java/mulleinfront/config/Ledger.java
@@ -3,8 +3,8 @@
 import java.util.function.Consumer;
 
 /**
- * Which version is the newest. There is one truth for all control machines; each of them holds a copy, which may be
- * behind. Called and calling back on its owner's one event loop.
+ * Which version is the newest. There is one truth for all control machines; each of them holds a copy, which
+ * may be behind. Called and calling back on its owner's one event loop.
  */
 public interface Ledger {
     /** The newest version that this machine knows to be decided and has made durable. Never goes back. */
@@ -24,8 +24,8 @@
     void listen(Consumer<Version> decided);
 
     /**
-     * Whether this machine has heard of a majority lately, so that what it takes for the newest is no older than that.
-     * Readers of one that has not look for another.
+     * Whether this machine has heard of a majority lately, so that what it takes for the newest is no older
+     * than that. Readers of one that has not look for another.
      */
     default boolean inTouch() {
         return true;
--- a/src/main/java/mulleinfront/follow/Following.java
+++ b/src/main/java/mulleinfront/follow/Following.java
@@ -36,8 +36,8 @@
 import mulleinfront.settings.WatchLine;
 
 /**
- * This client proxy as a reader of the fleet's configuration: its {@link Follower} on the event loop's time, one watch of
- * one control machine at a time, and the copy that it keeps. All of it runs on the event loop.
+ * This client proxy as a reader of the fleet's configuration: its {@link Follower} on the event loop's time,
+ * one watch of one control machine at a time, and the copy that it keeps. All of it runs on the event loop.
  */
 public final class Following implements Follower.Actions {
     private static final int LONGEST_LINE = 4 * 1024 * 1024;
@@ -75,12 +75,14 @@
         this.machines = file.machines();
         this.name = name;
         this.listener = listener;
-        this.copy = file.state() == null ? null : new KeptCopy(Path.of(file.state().replace("%n", plain(name))));
+        this.copy = file.state() == null ? null
+                : new KeptCopy(Path.of(file.state().replace("%n", plain(name))));
         Version kept = copy == null ? Version.NONE : copy.load();
         this.follower = new Follower(file.follow(), kept, new SplittableRandom(seed ^ name.hashCode()), this);
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.ALLOCATOR, buffers).option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, file.follow().connectUs() / 1_000));
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                        (int) Math.max(1, file.follow().connectUs() / 1_000));
     }
 
     /** As the name of a folder. */
@@ -125,7 +127,8 @@
     @Override
     public void ask(int machine, long after, long checksum) {
         InetSocketAddress address = machines.get(machine).door();
-        Watch asked = new Watch("POST /config/watch?name=" + URLEncoder.encode(name, StandardCharsets.US_ASCII) + "&after=" + after + "&checksum="
+        Watch asked = new Watch("POST /config/watch?name=" + URLEncoder.encode(name,
+                StandardCharsets.US_ASCII) + "&after=" + after + "&checksum="
                 + Long.toHexString(checksum) + " HTTP/1.1\r\nHost: " + NetUtil.toSocketAddressString(address)
                 + "\r\nTransfer-Encoding: chunked\r\n\r\n");
         watch = asked;
--- a/src/main/java/mulleinfront/follow/KeptCopy.java
+++ b/src/main/java/mulleinfront/follow/KeptCopy.java
@@ -13,9 +13,9 @@
 import mulleinfront.settings.DifferenceLine;
 
 /**
- * The last good version on disk: written beside, forced and moved into place, so that there is always a whole one; its
- * checksum tells a damaged one. Writing has a thread of its own, since a disk may take its time and the event loop may
- * not; of several that wait the last one is written.
+ * The last good version on disk: written beside, forced and moved into place, so that there is always a whole
+ * one; its checksum tells a damaged one. Writing has a thread of its own, since a disk may take its time and
+ * the event loop may not; of several that wait the last one is written.
  */
 final class KeptCopy {
     private static final String FILE = "configuration.json";
@@ -37,7 +37,8 @@
         try {
             return DifferenceLine.kept(Files.readAllBytes(file));
         } catch (IOException e) {
-            System.err.println("mulleinfront: " + file + ": not taken: " + String.valueOf(e.getMessage()).replace('\n', ' '));
+            System.err.println("mulleinfront: " + file + ": not taken: "
+                    + String.valueOf(e.getMessage()).replace('\n', ' '));
             return Version.NONE;
         }
     }
@@ -75,7 +76,8 @@
             }
             out.force(true);
         }
-        Files.move(part, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Files.move(part, folder.resolve(FILE), StandardCopyOption.ATOMIC_MOVE,
+                StandardCopyOption.REPLACE_EXISTING);
         try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
             directory.force(true);
         }
--- a/src/main/java/mulleinfront/handout/HandoutLog.java
+++ b/src/main/java/mulleinfront/handout/HandoutLog.java
@@ -8,8 +8,9 @@
 import mulleinfront.settings.WatchLine;
 
 /**
- * Each version's way at this control machine, a JSON object a line: proposed, answered, decided (durable here), in force
- * at a reader, a watch that began or ended. Times are the wall clock's, milliseconds since 1970.
+ * Each version's way at this control machine, a JSON object a line: proposed, answered, decided (durable
+ * here), in force at a reader, a watch that began or ended. Times are the wall clock's, milliseconds since
+ * 1970.
  */
 final class HandoutLog implements AutoCloseable {
     private final OutputStream out;
--- a/src/main/java/mulleinfront/handout/HandoutServer.java
+++ b/src/main/java/mulleinfront/handout/HandoutServer.java
@@ -51,9 +51,11 @@
 import mulleinfront.settings.WatchLine;
 
 /**
- * A control machine's door. {@code POST /config/watch?name=N&after=V&checksum=C} is a watch: its answer's body goes on
- * with a line for each difference and heartbeat, its request's with a line for each version in force. {@code POST
- * /config/propose}, {@code GET /config/status} and {@code GET /config/history} are for operators. All on one event loop.
+ * A control machine's door. {@code POST /config/watch?name=N&after=V&checksum=C} is a watch: its answer's
+ * body goes on with a line for each difference and heartbeat, its request's with a line for each version in
+ * force. {@code POST
+ * /config/propose}, {@code GET /config/status} and {@code GET /config/history} are for operators. All on one
+ * event loop.
  */
 public final class HandoutServer implements AutoCloseable {
     private static final int LONGEST_BODY = 1024 * 1024;
@@ -77,7 +79,8 @@
     private long sentBytes;
     private Channel listener;
 
-    private HandoutServer(String name, EventLoop loop, Ledger ledger, HandoutSettings settings, HandoutLog log) {
+    private HandoutServer(String name, EventLoop loop, Ledger ledger, HandoutSettings settings,
+            HandoutLog log) {
         this.name = name;
         this.loop = loop;
         this.ledger = ledger;
@@ -107,7 +110,8 @@
                 }).bind(address).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             server.log.close();
-            throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage(), bound.cause());
+            throw new IOException("can't listen on " + address + ": " + bound.cause().getMessage(),
+                    bound.cause());
         }
         server.listener = bound.channel();
         return server;
--- a/src/main/java/mulleinfront/settings/ControlFile.java
+++ b/src/main/java/mulleinfront/settings/ControlFile.java
@@ -13,16 +13,18 @@
 import mulleinfront.config.HandoutSettings;
 
 /**
- * Where the control machines are, how they hand the configuration out and how client proxies follow them. Read only
- * where that is switched on.
+ * Where the control machines are, how they hand the configuration out and how client proxies follow them.
+ * Read only where that is switched on.
  *
  * @param machines all of them, in one order for everybody
  * @param handout how they hand out
  * @param follow how a client proxy follows
- * @param state folder in which a client proxy keeps the last good version, {@code %n} its name; null: it keeps none
+ * @param state folder in which a client proxy keeps the last good version, {@code %n} its name; null: it
+ *        keeps none
  * @param events file of a control machine's event log, {@code %n} its name; null: none is kept
  */
-public record ControlFile(List<Machine> machines, HandoutSettings handout, FollowerSettings follow, String state,
+public record ControlFile(List<Machine> machines, HandoutSettings handout, FollowerSettings follow,
+        String state,
         String events) {
 
     /**
@@ -84,7 +86,9 @@
         return new HandoutSettings(heartbeat, (int) rate, burst, silent, patience, readers);
     }
 
-    private static FollowerSettings follow(Section s, int machines, long heartbeatUs) throws BadFileException {
+    private static FollowerSettings follow(Section s, int machines,
+            long heartbeatUs)
+            throws BadFileException {
         FollowerSettings usual = FollowerSettings.usual(machines);
         long silence = within(s, "silence", usual.silenceUs(), 2 * heartbeatUs, 3_600_000_000L);
         long connect = within(s, "connect", usual.connectUs(), 10_000, silence);
@@ -97,7 +101,9 @@
         return new FollowerSettings(machines, silence, connect, spread, retry, mostRetry, behind, report);
     }
 
-    private static long within(Section s, String key, long absent, long least, long most) throws BadFileException {
+    private static long within(Section s, String key, long absent, long least,
+            long most)
+            throws BadFileException {
         long us = s.time(key, absent);
         if (us < least || us > most) {
             throw s.wrong(key, "must be from " + least / 1_000 + "ms to " + most / 1_000 + "ms");
--- a/src/main/java/mulleinfront/settings/FleetConfiguration.java
+++ b/src/main/java/mulleinfront/settings/FleetConfiguration.java
@@ -89,7 +89,8 @@
     /** What is wrong with one entry; null: nothing. */
     private static String wrong(String key, String value) {
         if (key.length() > LONGEST_KEY || !KEY.matcher(key).matches()) {
-            return "a key has letters, digits, '_' and '-', with dots between its parts, " + LONGEST_KEY + " at most";
+            return "a key has letters, digits, '_' and '-', with dots between its parts, " + LONGEST_KEY
+                    + " at most";
         }
         if (value.length() > LONGEST_VALUE) {
             return "a value has " + LONGEST_VALUE + " characters at most, not " + value.length();
--- a/src/test/java/mulleinfront/config/DifferenceTest.java
+++ b/src/test/java/mulleinfront/config/DifferenceTest.java
@@ -45,7 +45,8 @@
 
     @Test
     void aChecksumTellsKeysFromValuesAndOneFromTwo() {
-        assertNotEquals(Checksum.of(version(1, Map.of("ab", "c"))), Checksum.of(version(1, Map.of("a", "bc"))));
+        assertNotEquals(Checksum.of(version(1, Map.of("ab", "c"))), Checksum.of(version(1, Map.of("a",
+                "bc"))));
         assertNotEquals(Checksum.of(version(1, Map.of("a", "b", "c", "d"))),
                 Checksum.of(version(1, Map.of("a", "b", "c", "", "d", ""))));
         assertNotEquals(Checksum.of(version(1, Map.of())), Checksum.of(version(2, Map.of())));
--- a/src/test/java/mulleinfront/config/HandoutHardTest.java
+++ b/src/test/java/mulleinfront/config/HandoutHardTest.java
@@ -36,7 +36,8 @@
     private static void assertAll(HandoutWorld w, long version, long within) {
         for (Proxy p : w.proxies) {
             if (p.alive) {
-                assertTrue(p.at(version) != Long.MAX_VALUE, "client proxy " + p.number + " lacks version " + version
+                assertTrue(p.at(version) != Long.MAX_VALUE, "client proxy " + p.number + " lacks version "
+                        + version
                         + ": " + p.history + " " + p.follower.state());
                 long took = p.at(version) - w.proposedUs.get((int) version);
                 assertTrue(took <= within, "version " + version + " took " + took + " us at " + p.number);
@@ -117,7 +118,8 @@
         other.start();
         w.run(S);
         assertTrue(w.machines.stream().flatMap(m -> m.handout().standings().stream())
-                .anyMatch(s -> s.name().equals("n1") && s.watching() && s.at() == 1 && !s.same()), "it is seen");
+                .anyMatch(s -> s.name().equals("n1") && s.watching() && s.at() == 1 && !s.same()),
+                "it is seen");
         w.propose(w.changed(2));
         w.run(S);
         assertAll(w, 2, BOUND);
@@ -162,7 +164,8 @@
         }
         assertEquals(List.of(1L), p.history);
         assertTrue(w.machines.stream().flatMap(m -> m.handout().standings().stream())
-                .anyMatch(s -> s.name().equals("n5") && !s.watching() && s.at() == 1), "it is known to be behind");
+                .anyMatch(s -> s.name().equals("n5") && !s.watching() && s.at() == 1),
+                "it is known to be behind");
         p.goOn();
         long on = w.time.now();
         w.run(BOUND);
@@ -376,7 +379,8 @@
         assertEquals(List.of("1 it does not read"), sent.closed);
         assertEquals(1, handout.readers());
         assertTrue(sent.bytes.get(2L) > 10_000, "the other had all: " + sent.bytes);
-        assertTrue(sent.lines <= 42, sent.lines + " lines for one reader that keeps up and one that does not");
+        assertTrue(sent.lines <= 42, sent.lines
+                + " lines for one reader that keeps up and one that does not");
     }
 
     @Test
--- a/src/test/java/mulleinfront/config/HandoutTest.java
+++ b/src/test/java/mulleinfront/config/HandoutTest.java
@@ -11,7 +11,10 @@
 import mulleinfront.config.HandoutWorld.Proxy;
 import org.junit.jupiter.api.Test;
 
-/** All of a fleet on virtual time: how long a change takes to be in force everywhere, through the faults of its days. */
+/**
+ * All of a fleet on virtual time: how long a change takes to be in force everywhere, through the faults of
+ * its days.
+ */
 class HandoutTest {
     private static final long S = 1_000_000;
     private static final long BOUND = 6 * S;
@@ -38,7 +41,8 @@
         /** With its control machine, the leader, and nobody to say so. */
         ZONE_KILLED(w -> w.time.after(w.chance.nextLong(80_000), () -> zoneGone(w))),
         /** At any time while a long line is on its way. */
-        MACHINE_KILLED_LATER(w -> w.time.after(w.chance.nextLong(2 * S), () -> w.machines.get(w.leader).kill())),
+        MACHINE_KILLED_LATER(w -> w.time.after(w.chance.nextLong(2 * S),
+                () -> w.machines.get(w.leader).kill())),
         ZONE_KILLED_LATER(w -> w.time.after(w.chance.nextLong(2 * S), () -> zoneGone(w)));
 
         private static void zoneGone(HandoutWorld w) {
@@ -69,7 +73,8 @@
         }
 
         String line() {
-            return String.format(Locale.ROOT, "%6.3f %6.3f %6.3f s  %5.0f B/s, %d B in the worst second", mean, p99,
+            return String.format(Locale.ROOT, "%6.3f %6.3f %6.3f s  %5.0f B/s, %d B in the worst second",
+                    mean, p99,
                     worst, bytesPerS, worstSecond);
         }
     }
@@ -141,7 +146,8 @@
 
     @Test
     void itsTimeDoesNotGrowWithTheFleet() {
-        for (Fault fault : List.of(Fault.HEALTHY, Fault.MACHINE_KILLED, Fault.RESTARTING, Fault.ZONE_KILLED)) {
+        for (Fault fault : List.of(Fault.HEALTHY, Fault.MACHINE_KILLED, Fault.RESTARTING,
+                Fault.ZONE_KILLED)) {
             for (int proxies : new int[] {50, 167, 335, 1_340}) {
                 Figures f = measure(fault, proxies, 3);
                 System.out.println("handout " + proxies + " " + fault + " " + f.line());
--- a/src/test/java/mulleinfront/config/HandoutWorld.java
+++ b/src/test/java/mulleinfront/config/HandoutWorld.java
@@ -15,12 +15,12 @@
 import mulleinfront.settings.DifferenceLine;
 
 /**
- * Three control machines and many client proxies on virtual time: the product's {@link Handout} and {@link Follower},
- * and models of what lies between them. Regions have zones; a message takes its time, now and then a lost segment's too;
- * what is cut off hears nothing and is told nothing of it.
+ * Three control machines and many client proxies on virtual time: the product's {@link Handout} and
+ * {@link Follower}, and models of what lies between them. Regions have zones; a message takes its time, now
+ * and then a lost segment's too; what is cut off hears nothing and is told nothing of it.
  *
- * <p>The ledger is modelled by its times: a proposal is decided when a majority has it, the others learn of that later,
- * and after the leader's end nobody does for the time of an election.
+ * <p>The ledger is modelled by its times: a proposal is decided when a majority has it, the others learn of
+ * that later, and after the leader's end nobody does for the time of an election.
  */
 final class HandoutWorld {
     /** Client proxies that do what they must not, to see that it is found. */
@@ -85,7 +85,8 @@
 
     /** One way, microseconds. */
     private long way(int zoneA, int zoneB) {
-        long us = region(zoneA) == region(zoneB) ? chance.nextLong(200, 1_500) : chance.nextLong(18_000, 40_000);
+        long us = region(zoneA) == region(zoneB) ? chance.nextLong(200, 1_500) : chance.nextLong(18_000,
+                40_000);
         return chance.nextInt(200) == 0 ? us + chance.nextLong(200_000, 400_000) : us;
     }
 
@@ -105,7 +106,8 @@
     void propose(Map<String, String> entries) {
         long at = time.now();
         ask(() -> {
-            Version v = new Version(decided.size(), new TreeMap<>(entries), "change " + decided.size(), at / 1_000);
+            Version v = new Version(decided.size(), new TreeMap<>(entries), "change " + decided.size(),
+                    at / 1_000);
             decided.add(v);
             proposedUs.add(at);
             Machine by = machines.get(leader);
@@ -136,7 +138,9 @@
         });
     }
 
-    /** A leader that has no majority is replaced after the time of an election, if there is anybody to elect. */
+    /**
+     * A leader that has no majority is replaced after the time of an election, if there is anybody to elect.
+     */
     void elect() {
         if (electing || majority(machines.get(leader))) {
             return;
@@ -262,7 +266,8 @@
 
         @Override
         public byte[] heartbeat(long number, boolean inTouch) {
-            return ("{\"newest\":" + number + ",\"in_touch\":" + inTouch + "}\n").getBytes(StandardCharsets.UTF_8);
+            return ("{\"newest\":" + number + ",\"in_touch\":" + inTouch
+                    + "}\n").getBytes(StandardCharsets.UTF_8);
         }
 
         @Override
@@ -542,8 +547,10 @@
             while (half.size() > d.changed().size() / 2) {
                 half.pollLastEntry();
             }
-            Difference part = new Difference(d.from(), d.to(), half, d.removed(), d.why(), d.decidedAtMillis(), 0);
-            TreeMap<String, String> entries = new TreeMap<>(d.isWhole() ? Map.of() : follower.inForce().entries());
+            Difference part = new Difference(d.from(), d.to(), half, d.removed(), d.why(),
+                    d.decidedAtMillis(), 0);
+            TreeMap<String, String> entries = new TreeMap<>(d.isWhole()
+                    ? Map.of() : follower.inForce().entries());
             entries.keySet().removeAll(part.removed());
             entries.putAll(half);
             return new Difference(d.from(), d.to(), half, d.removed(), d.why(), d.decidedAtMillis(),
@@ -614,7 +621,8 @@
             if (p.follower != null) {
                 Version v = p.follower.inForce();
                 if (!v.equals(decided.get((int) v.number()))) {
-                    throw new AssertionError("client proxy " + p.number + " has a version " + v.number() + " of its own");
+                    throw new AssertionError("client proxy " + p.number + " has a version " + v.number()
+                            + " of its own");
                 }
             }
         }
--- a/src/test/java/mulleinfront/proxy/ConfigMeasure.java
+++ b/src/test/java/mulleinfront/proxy/ConfigMeasure.java
@@ -11,8 +11,8 @@
 import mulleinfront.proxy.ControlMachines.Reader;
 
 /**
- * Measures, on sockets: time from proposed to in force at readers that run the client proxy's code many to a process, and
- * what they and the control machines cost at rest. No test: it asserts nothing.
+ * Measures, on sockets: time from proposed to in force at readers that run the client proxy's code many to a
+ * process, and what they and the control machines cost at rest. No test: it asserts nothing.
  *
  * <p>{@code java -cp target/classes:target/test-classes:... mulleinfront.proxy.ConfigMeasure READERS ROUNDS}
  */
@@ -77,7 +77,8 @@
         return Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
     }
 
-    private static void measure(ControlMachines control, long version, long before, List<Double> into) throws Exception {
+    private static void measure(ControlMachines control, long version, long before,
+            List<Double> into) throws Exception {
         control.awaitAll(version);
         for (Reader r : control.readers) {
             into.add((r.at(version) - before) / 1e9);
@@ -87,7 +88,8 @@
     private static void print(String what, List<Double> s) {
         Collections.sort(s);
         System.out.printf(Locale.ROOT, "%s: mean %.3f p99 %.3f worst %.3f s (%d times)%n", what,
-                s.stream().mapToDouble(d -> d).average().orElse(0), s.get((int) Math.ceil(0.99 * s.size()) - 1),
+                s.stream().mapToDouble(d -> d).average().orElse(0),
+                s.get((int) Math.ceil(0.99 * s.size()) - 1),
                 s.get(s.size() - 1), s.size());
     }
 }
--- a/src/test/java/mulleinfront/proxy/ConfigServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ConfigServeTest.java
@@ -104,7 +104,8 @@
         control.follow(30);
         control.propose(1, "");
         control.awaitAll(1);
-        // The third misses the second version; whoever decided it is killed before all of its readers are told.
+        // The third misses the second version; whoever decided it is killed before all of its readers are
+        // told.
         ControlMachines.signal(control.machines[2], "STOP");
         control.propose(2, "x = \"" + "y".repeat(4_000) + "\"\nz = \"" + "y".repeat(4_000) + "\"\n");
         control.kill(1);
@@ -136,7 +137,8 @@
         String said = control.config("propose", toml.toString(), "--why", "in vain");
         assertTrue(said.startsWith("8\n") || said.startsWith("7\n") || said.startsWith("1\n"), said);
         try (Client client = new Client(port)) {
-            assertEquals(503, client.safe("a", 1_000).read().status(), "it answers, though its host is nobody");
+            assertEquals(503, client.safe("a", 1_000).read().status(),
+                    "it answers, though its host is nobody");
         }
         for (Reader r : control.readers) {
             assertEquals(List.of(1L), r.history);
@@ -144,7 +146,8 @@
         control.start(1);
         ControlMachines.await("a change is decided again", () -> {
             try {
-                return control.config("propose", Files.writeString(folder.resolve("back.toml"), "back = 1\n").toString(),
+                return control.config("propose", Files.writeString(folder.resolve("back.toml"),
+                        "back = 1\n").toString(),
                         "--why", "back").startsWith("0\n");
             } catch (java.io.IOException e) {
                 throw new java.io.UncheckedIOException(e);
@@ -161,7 +164,8 @@
         Process process = serve(ServeTest.freePort(), "127.0.0.1:1", errors);
         control.propose(1, "");
         awaitLine(errors, "configuration version 1 in force");
-        ControlMachines.await("it has said so", () -> control.config("status").contains("in force at 1 of 1"));
+        ControlMachines.await("it has said so", () ->
+                control.config("status").contains("in force at 1 of 1"));
         ControlMachines.signal(process, "STOP");
         for (int i = 2; i <= 4; i++) {
             control.propose(i, "");
@@ -178,15 +182,19 @@
     void aClientProxyThatFollowsLoadsNothingOfWhoDecides() throws Exception {
         Path errors = folder.resolve("served");
         Path loaded = folder.resolve("loaded");
-        Process process = serve(ServeTest.freePort(), "127.0.0.1:1", errors, "-Xlog:class+load:file=" + loaded);
+        Process process = serve(ServeTest.freePort(), "127.0.0.1:1", errors,
+                "-Xlog:class+load:file=" + loaded);
         awaitLine(errors, "listening on");
         awaitLine(loaded, "mulleinfront.follow.Following ");
         process.destroy();
-        assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS), "nobody hands out, and it ends all the same");
+        assertTrue(process.waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS),
+                "nobody hands out, and it ends all the same");
         String classes = Files.readString(loaded);
-        for (String no : List.of("mulleinfront.handout.", "mulleinfront.keep.", "io.microraft", "mulleinfront.cli.",
+        for (String no : List.of("mulleinfront.handout.", "mulleinfront.keep.", "io.microraft",
+                "mulleinfront.cli.",
                 "ch.qos.logback", "org.slf4j", "picocli.", "mulleinfront.fleet.", "mulleinfront.gossip.")) {
-            assertFalse(classes.contains(no), no + ": " + classes.lines().filter(l -> l.contains(no)).findFirst());
+            assertFalse(classes.contains(no), no + ": " + classes.lines().filter(l ->
+                    l.contains(no)).findFirst());
         }
     }
 
@@ -231,7 +239,8 @@
         control.startAll();
         assertEquals(400, call("POST /config/propose HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"));
         String nowhere = "{\"id\":\"a\",\"entries\":{\"discovery\":\"nowhere\"}}";
-        assertEquals(400, call("POST /config/propose HTTP/1.1\r\nContent-Length: " + nowhere.length() + "\r\n\r\n"
+        assertEquals(400, call("POST /config/propose HTTP/1.1\r\nContent-Length: " + nowhere.length()
+                + "\r\n\r\n"
                 + nowhere));
         assertEquals(400, call("GET /config/watch?name=a HTTP/1.1\r\n\r\n"));
         assertEquals(400, call("POST /config/watch?name=a&after=x HTTP/1.1\r\n\r\n"));
--- a/src/test/java/mulleinfront/proxy/ControlMachines.java
+++ b/src/test/java/mulleinfront/proxy/ControlMachines.java
@@ -23,7 +23,10 @@
 import mulleinfront.follow.Following;
 import mulleinfront.settings.ControlFile;
 
-/** Three control machines as processes, and readers in this one, each with a watch of its own on a real socket. */
+/**
+ * Three control machines as processes, and readers in this one, each with a watch of its own on a real
+ * socket.
+ */
 final class ControlMachines implements AutoCloseable {
     /** One that follows and notes what is in force, and when. */
     static final class Reader {
@@ -50,7 +53,8 @@
     final Path file;
     final Process[] machines = new Process[3];
     final List<Reader> readers = new ArrayList<>();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory());
 
     ControlMachines(Path folder) throws Exception {
         this.folder = folder;
@@ -119,7 +123,8 @@
         for (int i = 0; i < count; i++) {
             Reader reader = new Reader();
             EventLoop loop = group.next();
-            reader.following = new Following(loop, UnpooledByteBufAllocator.DEFAULT, control, "r" + readers.size(),
+            reader.following = new Following(loop, UnpooledByteBufAllocator.DEFAULT, control,
+                    "r" + readers.size(),
                     ThreadLocalRandom.current().nextLong(), (v, how) -> {
                         reader.history.add(v.number());
                         reader.atNanos.add(System.nanoTime());
@@ -142,7 +147,8 @@
 
     /** Has a file decided; gives the instant before it was proposed. */
     long propose(int number, String more) throws Exception {
-        Path toml = Files.writeString(folder.resolve("fleet-" + number + ".toml"), "number = " + number + "\n" + more);
+        Path toml = Files.writeString(folder.resolve("fleet-" + number + ".toml"),
+                "number = " + number + "\n" + more);
         long before = System.nanoTime();
         String said = config("propose", toml.toString(), "--why", "number " + number);
         if (!said.equals("0\nversion " + number + " is decided\n")) {
