Every instance calls discovery in a place of its own: a list within 6 s whatever failed

Need: a change counts as told 6 s after discovery had it and could be reached, whatever call failed. At fault: Logic's wait doubled to 10 s times 1.5, Footprint.callDelayUs put up to 5 s on top, silence took 4.5 s; up to 16 instances came all within 0.4 s and again soon, which kept a slow discovery too busy to answer (5 instances, 0.8 s a call).

Change: CallSchedule (module, no I/O): in each 4 s every instance has one place, by its number `me` on the common clock; after a watch ended the period is instances x the last answer's time. Silence after 3 s, an unanswered call after 3.5 s. Core and Footprint put off no call any more but the one where discovery moves to (3 s where many; it kept 0). The emulator learns watches-silent and watches-reset. FootprintTest's cases of calls are CallScheduleTest's now; "a few are not put off" holds for starts only, since five that call at once after a reset is the fault. Digests of scenarios where discovery fails change by design.

--- a/src/main/java/mulleinfront/Balancer.java
+++ b/src/main/java/mulleinfront/Balancer.java
@@ -30,6 +30,15 @@
     /** A subscription or reload failed, or the subscription broke; the list held stays in force. */
     void onDiscoveryFailed(long now);
 
+    /**
+     * The same of a subscription that broke.
+     *
+     * @param quietUs since when nothing had come of it, heartbeats included, microseconds
+     */
+    default void onDiscoveryFailed(long now, long quietUs) {
+        onDiscoveryFailed(now);
+    }
+
     /** A request arrived; it must get one final answer within its budget. */
     void onRequest(long now, Request request);
 
@@ -219,10 +228,11 @@
      * @param weightsVary whether listed weights follow load rather than size
      * @param limits what the deployment permits
      * @param contract the figures of the rules
+     * @param me this one's number among the instances, from 0; -1 if it is not told
      */
     record Settings(List<RequestClass> classes, List<Double> tenantShares, double overShareWorth,
             int instances, double probePrice, boolean subscribe, boolean weightsVary, Limits limits,
-            Contract contract) {
+            Contract contract, int me) {
         /** Times beyond this are a slip of the pen, microseconds. */
         static final long LONGEST_US = 86_400_000_000L;
 
@@ -238,6 +248,20 @@
             }
         }
 
+        /** Of an instance that is not told its number. */
+        public Settings(List<RequestClass> classes, List<Double> tenantShares, double overShareWorth,
+                int instances, double probePrice, boolean subscribe, boolean weightsVary, Limits limits,
+                Contract contract) {
+            this(classes, tenantShares, overShareWorth, instances, probePrice, subscribe, weightsVary, limits,
+                    contract, -1);
+        }
+
+        /** The same for one of so many. */
+        public Settings of(int number, int all) {
+            return new Settings(classes, tenantShares, overShareWorth, all, probePrice, subscribe, weightsVary,
+                    limits, contract, number);
+        }
+
         static void need(boolean ok, String otherwise) {
             if (!ok) {
                 throw new IllegalArgumentException("settings: " + otherwise);
--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -176,8 +176,6 @@
     private static final double WHOLE_FADE = 0.999;
     /** Part of the time left that one attempt may use while another could follow. */
     private static final double ATTEMPT_PART = 0.6;
-    /** Shortest wait before discovery is asked again, microseconds; doubles, with jitter. */
-    private static final long ASK_AGAIN_US = 250_000;
 
     private static final Hasher64 HASH = Hashing.xxh3_64();
 
@@ -256,7 +254,7 @@
     private boolean asking;
     private boolean subscribed;
     private long askAt;
-    private long askWait = ASK_AGAIN_US;
+    private final CallSchedule calls;
 
     Logic(Settings settings, long seed, long now, Actions out) {
         this.settings = settings;
@@ -277,10 +275,9 @@
         this.bornAt = now;
         this.tenantAt = now;
         this.nextSweep = now + SWEEP_US;
-        this.askAt = now;
-        if (settings.subscribe()) {
-            ask();
-        }
+        this.calls = new CallSchedule(settings, MANY, seed);
+        this.askAt = calls.atStart(now, false);
+        arm(now);
     }
 
     // ---- discovery -----------------------------------------------------------------------------------
@@ -290,7 +287,9 @@
         if (source != Source.CACHED && asking) {
             asking = false;
             subscribed = true;
-            askWait = ASK_AGAIN_US;
+            calls.answered(now);
+        } else if (source == Source.CACHED && !asking && !subscribed && !entries.isEmpty()) {
+            askAt = calls.atStart(now, true);
         }
         walk++;
         for (Endpoint e : entries) {
@@ -339,20 +338,17 @@
 
     @Override
     public void onDiscoveryFailed(long now) {
+        onDiscoveryFailed(now, 0);
+    }
+
+    @Override
+    public void onDiscoveryFailed(long now, long quietUs) {
+        askAt = subscribed ? calls.afterWatch(now, quietUs) : calls.afterCall(now);
         asking = false;
         subscribed = false;
-        askAt = now + (long) (askWait * (0.5 + random.nextDouble()));
-        // Many that go on asking keep discovery too busy to answer any of them.
-        askWait = Math.min(2 * askWait, many ? settings.contract().askWithinUs()
-                : Math.max(ASK_AGAIN_US, settings.contract().askWithinUs() / 4));
         arm(now);
     }
 
-    private void ask() {
-        asking = true;
-        out.subscribe();
-    }
-
     // ---- the ring ------------------------------------------------------------------------------------
 
     private void join(Node n) {
@@ -1150,7 +1146,9 @@
     private void arm(long now) {
         boolean mustAsk = settings.subscribe() && !asking && !subscribed;
         if (mustAsk && now >= askAt) {
-            ask();
+            asking = true;
+            calls.called(now);
+            out.subscribe();
             mustAsk = false;
         }
         long next = !open.isEmpty() ? Math.max(nextSweep, now + 1) : Long.MAX_VALUE;
--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -113,7 +113,7 @@
 
     /** Makes the module; to be called once, before any event, and followed by {@link #perform}. */
     public void begin(Maker maker, long seed) {
-        footprint = new Footprint(settings.instances(), settings.contract().askWithinUs(), seed);
+        footprint = new Footprint(settings.instances(), seed);
         bornAt = time.now();
         balancer = maker.create(settings, seed, bornAt, this);
     }
@@ -182,16 +182,30 @@
         run(() -> balancer.onEndpoints(time.now(), source, endpoints));
     }
 
+    /** How long to wait before discovery is called where it has moved to, microseconds: see {@link Footprint}. */
+    public long moveDelayUs() {
+        return footprint.moveDelayUs();
+    }
+
     /** Idle connections that the wire is to keep at most: see {@link Footprint}. */
     public int mostIdle() {
         return footprint.mostIdle(ready.size());
     }
 
-    /** A call to discovery failed, or its watch ended; the list held stays in force. */
+    /** A call to discovery failed before anything came of it; the list held stays in force. */
     public void discoveryFailed() {
         run(() -> balancer.onDiscoveryFailed(time.now()));
     }
 
+    /**
+     * A watch ended or fell silent; the list held stays in force.
+     *
+     * @param quietUs since when nothing had come of it, heartbeats included, microseconds
+     */
+    public void watchLost(long quietUs) {
+        run(() -> balancer.onDiscoveryFailed(time.now(), quietUs));
+    }
+
     // ---- callers -------------------------------------------------------------------------------------
 
     /**
@@ -513,14 +527,7 @@
 
     @Override
     public void subscribe() {
-        work.add(() -> {
-            long delay = footprint.callDelayUs(!ready.isEmpty());
-            if (delay == 0) {
-                wire.subscribe();
-            } else {
-                time.after(delay, wire::subscribe);
-            }
-        });
+        work.add(wire::subscribe);
     }
 
     @Override
--- a/src/main/java/mulleinfront/core/Footprint.java
+++ b/src/main/java/mulleinfront/core/Footprint.java
@@ -3,10 +3,10 @@
 import java.util.SplittableRandom;
 
 /**
- * What one client proxy may hold open, probe and ask, so that all of them together stay within what hosts and
- * discovery bear however many they are. Nobody tells how many connections a host takes or how many calls discovery
- * works through, so the figures are modest ones; each instance takes its part of them. Up to {@link #FEW} instances
- * there is nothing to share out, and nothing is bounded here.
+ * What one client proxy may hold open and probe, so that all of them together stay within what hosts and
+ * discovery bear however many they are. Nobody tells how many connections a host takes, so the figures are modest
+ * ones; each instance takes its part of them. Up to {@link #FEW} instances there is nothing to share out, and nothing
+ * is bounded here. When discovery is called is the module's to say; only where it moves to is asked from here.
  *
  * <p>It has no clock: the time comes with each question. Equal seeds and questions give equal answers.
  */
@@ -19,34 +19,22 @@
     static final int LEAST_IDLE = 2;
     /** Probes a second that a host is to answer for all instances together. */
     static final double PROBES_PER_HOST = 10;
-    /**
-     * Calls a second to discovery by all instances together, when all call at once. Discovery works through calls in
-     * turn, and one that is given up has cost it as much: once more wait than it does within their patience, none is
-     * answered in time, and their repeats keep it so. Few a second are therefore the only figure that is safe: who
-     * waits a few seconds goes by the list it has.
-     */
-    static final double CALLS_PER_S = 20;
-    /** Part of the time within which discovery must be asked that a call may be put off by. */
-    static final double MOST_DELAY_PART = 0.5;
-    /** Longest delay of a call by an instance that holds no list, microseconds: it can serve nobody until then. */
-    static final long MOST_EMPTY_US = 2_000_000;
+    /** Time over which all call discovery where it moves for all at one moment, microseconds. */
+    static final long MOVE_US = 3_000_000;
 
     private final boolean few;
     private int instances;
-    private final long askWithinUs;
     private final SplittableRandom random;
     private double probes = 1;
     private long probedAt;
 
     /**
      * @param instances how many send to the same hosts, this one included
-     * @param askWithinUs how long one may go without asking discovery, microseconds
      * @param seed this instance's own, or all would wait alike
      */
-    public Footprint(int instances, long askWithinUs, long seed) {
+    public Footprint(int instances, long seed) {
         this.few = instances <= FEW;
         this.instances = instances;
-        this.askWithinUs = askWithinUs;
         this.random = new SplittableRandom(seed);
     }
 
@@ -66,17 +54,11 @@
     }
 
     /**
-     * How long to wait before a call to discovery, microseconds. All instances that start, or find discovery back, at
-     * one moment spread their calls over as long as those take.
-     *
-     * @param holdsList whether there is a list to go by meanwhile
+     * How long to wait before discovery is called where it has moved to, microseconds: all are told at one moment. When
+     * it is called otherwise is the module's to say.
      */
-    public long callDelayUs(boolean holdsList) {
-        if (few) {
-            return 0;
-        }
-        double spread = Math.min(instances / CALLS_PER_S * 1e6, MOST_DELAY_PART * askWithinUs);
-        return (long) (random.nextDouble() * (holdsList ? spread : Math.min(spread, MOST_EMPTY_US)));
+    public long moveDelayUs() {
+        return few ? 0 : (long) (random.nextDouble() * MOVE_US);
     }
 
     /** Whether a probe may be made now; one that is made counts. */
--- a/src/main/java/mulleinfront/emulator/DiscoveryClient.java
+++ b/src/main/java/mulleinfront/emulator/DiscoveryClient.java
@@ -47,7 +47,7 @@
     void watch() {
         if (watch == null) {
             watch = new Watch();
-            watch.silence(0);
+            watch.waits();
             world.audit.asked(proxy, time.now());
             world.registry.call(watch);
         }
@@ -86,6 +86,9 @@
     final class Watch extends Watcher {
         private Time.Timer patience;
         private boolean over;
+        private boolean heard;
+        /** When it was last heard of, heartbeats too, if it has fallen silent since. */
+        private long heardAt;
 
         private Watch() {
             toldTo = version;
@@ -106,8 +109,18 @@
             return over;
         }
 
+        void waits() {
+            patience = time.after(Wire.CALL_SILENCE_US, this::fail);
+        }
+
         @Override
         void begin() {
+            heard = true;
+            quiet();
+        }
+
+        private void quiet() {
+            heardAt = 0;
             if (patience != null) {
                 patience.cancel();
                 patience = null;
@@ -116,7 +129,8 @@
 
         @Override
         void silence(long agoUs) {
-            begin();
+            quiet();
+            heardAt = time.now() - agoUs;
             patience = time.after(Wire.SILENCE_US - agoUs, this::fail);
         }
 
@@ -130,7 +144,9 @@
 
         void end() {
             over = true;
-            begin();
+            if (patience != null) {
+                patience.cancel();
+            }
         }
 
         @Override
@@ -142,10 +158,12 @@
             watch = null;
             world.registry.leave(this);
             world.audit.watchFailed(proxy, time.now());
-            if (world.scenario.discovery().asked()) {
-                core.discoveryFailed();
-            } else {
+            if (!world.scenario.discovery().asked()) {
                 time.after(Wire.AGENT_AGAIN_US, DiscoveryClient.this::watch);
+            } else if (heard) {
+                core.watchLost(heardAt == 0 ? 0 : time.now() - heardAt);
+            } else {
+                core.discoveryFailed();
             }
         }
     }
--- a/src/main/java/mulleinfront/emulator/FaultReader.java
+++ b/src/main/java/mulleinfront/emulator/FaultReader.java
@@ -91,7 +91,8 @@
                 drain = s.time("of", 1_000_000L);
             }
             case CLOCK -> factor = (s.time("ahead", 0L) - s.time("back", 0L)) / 1_000.0;
-            case DRAIN, HANG, VANISH, CUT, DISCOVERY_DOWN, DISCOVERY_SILENT, CUT_PEERS, DATAGRAMS, BURST -> { }
+            case DRAIN, HANG, VANISH, CUT, DISCOVERY_DOWN, DISCOVERY_SILENT, WATCHES_SILENT, WATCHES_RESET, CUT_PEERS, DATAGRAMS,
+                    BURST -> { }
         }
         List<String> named = List.of();
         int count = -1;
--- a/src/main/java/mulleinfront/emulator/Proxy.java
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -159,7 +159,7 @@
         private final EmulatedWire wire = new EmulatedWire(world, this, this, number, zone,
                 discovery, this::mostIdle);
         private final Core<Call, Answer> core =
-                new Core<>(world.settings, this, world.fitting.wire(wire, this), world.audit::defect);
+                new Core<>(world.settings.of(number, world.settings.instances()), this, world.fitting.wire(wire, this), world.audit::defect);
         private final Map<Clients.Try, Core.Exchange<Call, Answer>> open = new LinkedHashMap<>();
         /** Tries that wait for the CPU before the core hears of them. */
         private final Set<Clients.Try> waiting = new LinkedHashSet<>();
--- a/src/main/java/mulleinfront/emulator/Registry.java
+++ b/src/main/java/mulleinfront/emulator/Registry.java
@@ -223,13 +223,24 @@
     void down(boolean on) {
         down = on;
         if (on) {
-            for (Watcher w : List.copyOf(watches)) {
-                world.queue.after(world.network.delay(w.zone(), 0), w::fail);
-            }
-            watches.clear();
+            watchesEnd();
         }
     }
 
+    /** What is open ends; new calls are answered as before. */
+    void watchesEnd() {
+        for (Watcher w : List.copyOf(watches)) {
+            world.queue.after(world.network.delay(w.zone(), 0), w::fail);
+        }
+        watches.clear();
+    }
+
+    /** What is open stays open and never says anything again; new calls are answered as before. */
+    void watchesFallSilent() {
+        List.copyOf(watches).forEach(w -> silent(w, true));
+        watches.clear();
+    }
+
     /** Silent: what is open stays open and says nothing, not even that it is there. */
     void silent(boolean on) {
         silent = on;
--- a/src/main/java/mulleinfront/emulator/Script.java
+++ b/src/main/java/mulleinfront/emulator/Script.java
@@ -48,6 +48,8 @@
             case DISCOVERY_SHUFFLE ->
                     both(f, () -> world.registry.shuffle((int) f.factor()), () -> world.registry.shuffle(0));
             case DISCOVERY_CROWD -> both(f, () -> world.registry.crowd(f.factor()), () -> world.registry.crowd(0));
+            case WATCHES_SILENT -> world.registry.watchesFallSilent();
+            case WATCHES_RESET -> world.registry.watchesEnd();
             case KILL_PROXY -> proxies(f).forEach(p -> within(f, () -> p.kill(f.drainUs())));
             case END_PROXY -> proxies(f).forEach(p -> within(f, p::end));
             case ROLL_PROXIES -> roll(f);
--- a/src/main/java/mulleinfront/emulator/Trace.java
+++ b/src/main/java/mulleinfront/emulator/Trace.java
@@ -205,6 +205,12 @@
             module.onDiscoveryFailed(now);
         }
 
+        @Override
+        public void onDiscoveryFailed(long now, long quietUs) {
+            begin(now, proxy, "discovery-failed").used(" quiet=").number(quietUs).end();
+            module.onDiscoveryFailed(now, quietUs);
+        }
+
         @Override
         public void onRequest(long now, Request r) {
             begin(now, proxy, "request").word(r.id()).used(" class=").number(r.classIndex()).used(" key=")
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -102,7 +102,12 @@
 
             @Override
             public void failed() {
-                watchFailed();
+                askAgain(core::discoveryFailed);
+            }
+
+            @Override
+            public void lost(long quietUs) {
+                askAgain(() -> core.watchLost(quietUs));
             }
         });
         this.frontend = new Frontend(this, standing, loop, half);
@@ -455,7 +460,8 @@
      * start to end.
      */
     public void reload(Config changed) {
-        loop.execute(() -> core.run(() -> discovery.move(changed.discovery())));
+        loop.execute(() -> core.run(() -> discovery.move(changed.discovery(),
+                config.settings().subscribe() ? core.moveDelayUs() : 0)));
     }
 
     /** The port it listens on. */
@@ -472,9 +478,10 @@
         return clock.now();
     }
 
-    private void watchFailed() {
+    /** Where discovery is asked, by the module's word. */
+    private void askAgain(Runnable tell) {
         if (config.settings().subscribe()) {
-            core.discoveryFailed();
+            tell.run();
         } else {
             loop.schedule(discovery::watch, Wire.AGENT_AGAIN_US, TimeUnit.MICROSECONDS);
         }
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -44,16 +45,25 @@
  */
 final class Discovery {
     private static final long SILENCE_MS = Wire.SILENCE_US / 1000;
+    private static final long CALL_SILENCE_MS = Wire.CALL_SILENCE_US / 1000;
     /** News counts as told 4 s after a move: within that time a silent new address is asked again. */
     private static final long MOVED_SILENCE_MS = 1_800;
     private static final int CONNECT_MS = 1_000;
     private static final int LONGEST_LIST = 4 * 1024 * 1024;
 
-    /** Told of lists and of watches that failed. */
+    /** Told of lists, and of calls and watches that failed. */
     interface Listener {
         void listed(Source source, List<Endpoint> endpoints);
 
+        /** A call failed before anything came of it. */
         void failed();
+
+        /**
+         * A watch ended or fell silent.
+         *
+         * @param quietUs since when nothing had come of it, microseconds
+         */
+        void lost(long quietUs);
     }
 
     private InetSocketAddress address;
@@ -97,21 +107,31 @@
     /** Asks for what changed and for all changes to come, unless that is asked for already. */
     void watch() {
         if (watch == null) {
-            ask(SILENCE_MS);
+            ask(CALL_SILENCE_MS);
         }
     }
 
     /**
-     * Takes up another discovery at once. It may count its versions in its own way, so the whole list is
-     * asked for; until it has come the old one holds. The old watch was given up, not failed.
+     * Takes up another discovery. It may count its versions in its own way, so the whole list is asked for; until it has
+     * come the old one holds. The old watch was given up, not failed.
+     *
+     * @param delayUs time until it is asked, unless somebody asks before; 0: at once
      */
-    void move(InetSocketAddress to) {
+    void move(InetSocketAddress to, long delayUs) {
         if (!to.equals(address)) {
             stop();
             address = to;
             version = -1;
             order.forget();
-            ask(MOVED_SILENCE_MS);
+            if (delayUs == 0) {
+                ask(MOVED_SILENCE_MS);
+            } else {
+                bootstrap.config().group().next().schedule(() -> {
+                    if (address.equals(to)) {
+                        watch();
+                    }
+                }, delayUs, TimeUnit.MICROSECONDS);
+            }
         }
     }
 
@@ -177,14 +197,14 @@
 
     /** One call. It fails once, however it ends, unless it was given up for another. */
     private final class Watch extends SimpleChannelInboundHandler<ByteBuf> {
-        private final long patienceMs;
         private Channel channel;
+        private final Silence silence;
         private boolean heard;
         /** The newest version that it told of. */
         private long newest = -1;
 
         Watch(long patienceMs) {
-            this.patienceMs = patienceMs;
+            this.silence = new Silence(patienceMs);
         }
 
         ChannelInitializer<SocketChannel> pipeline() {
@@ -192,8 +212,7 @@
                 @Override
                 protected void initChannel(SocketChannel ch) {
                     channel = ch;
-                    ch.pipeline().addLast(new ReadTimeoutHandler(patienceMs, TimeUnit.MILLISECONDS),
-                            new HttpResponseDecoder(), new Body(), new Objects(), Watch.this);
+                    ch.pipeline().addLast(silence, new HttpResponseDecoder(), new Body(), new Objects(), Watch.this);
                 }
             };
         }
@@ -209,11 +228,7 @@
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf object) throws IOException {
             if (watch == this) {
                 Listing listing = Listing.parse(ByteBufUtil.getBytes(object));
-                if (!heard) {
-                    heard = true;
-                    ctx.pipeline().replace(ReadTimeoutHandler.class, null,
-                            new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
-                }
+                heard = true;
                 // A whole list is the latest word of who sends it, but not one that it has overtaken itself.
                 if (!listing.full() || listing.version() >= newest) {
                     newest = Math.max(newest, listing.version());
@@ -242,7 +257,55 @@
                     System.err.println("mulleinfront: the watch of " + NetUtil.toSocketAddressString(address)
                             + " failed: " + cause);
                 }
-                listener.failed();
+                if (silence.answered()) {
+                    listener.lost(silence.quietUs());
+                } else {
+                    listener.failed();
+                }
+            }
+        }
+    }
+
+    /**
+     * The time for which nothing may come: a call may wait for its turn, and what has begun to answer has a heartbeat.
+     * It stands for the call and then for the watch, with a timer of its own each.
+     */
+    private static final class Silence extends ChannelInboundHandlerAdapter {
+        private final long callMs;
+        private ReadTimeoutHandler timer;
+        private boolean answered;
+        private long heardNanos;
+
+        Silence(long callMs) {
+            this.callMs = callMs;
+        }
+
+        /** Whether anything of an answer's body came, a heartbeat too. */
+        boolean answered() {
+            return answered;
+        }
+
+        long quietUs() {
+            return (System.nanoTime() - heardNanos) / 1000;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            timer = new ReadTimeoutHandler(callMs, TimeUnit.MILLISECONDS);
+            ctx.pipeline().addFirst(timer);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object msg) {
+            heardNanos = System.nanoTime();
+            ctx.fireChannelRead(msg);
+        }
+
+        /** Something of the body has come. */
+        void begun(ChannelHandlerContext ctx) {
+            if (!answered) {
+                answered = true;
+                ctx.pipeline().replace(timer, null, new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
             }
         }
     }
@@ -300,6 +363,7 @@
                 throw new IOException("discovery refused the watch");
             }
             if (in instanceof HttpContent content && content.content().isReadable()) {
+                ctx.pipeline().get(Silence.class).begun(ctx);
                 out.add(content.content().retain());
             }
             if (in instanceof LastHttpContent) {
--- a/src/main/java/mulleinfront/settings/Config.java
+++ b/src/main/java/mulleinfront/settings/Config.java
@@ -107,9 +107,8 @@
 
     /** One of several client proxies in a process, each an instance to the module. */
     Config part(int number, int of, int itsSockets) {
-        Settings s = settings;
-        Settings shared = new Settings(s.classes(), s.tenantShares(), s.overShareWorth(), s.instances() * of,
-                s.probePrice(), s.subscribe(), s.weightsVary(), s.limits(), s.contract());
+        int me = settings.me() < 0 ? -1 : settings.me() * of + number;
+        Settings shared = settings.of(me, settings.instances() * of);
         return new Config(listen, management, discovery, seed + number * SEED_STEP, shared, zones, kinds, tenants, cores,
                 requestsPerS / of, limit, itsSockets, dialTimeoutUs, known, fleet);
     }
--- a/src/main/java/mulleinfront/settings/SettingsReader.java
+++ b/src/main/java/mulleinfront/settings/SettingsReader.java
@@ -118,7 +118,7 @@
                         (long) number(limits, "connIdleUs", 15_000_000)),
                 new Contract((long) number(contract, "askWithinUs", 10_000_000),
                         number(contract, "coldFrom", 1), (long) number(contract, "coldUs", 0),
-                        number(contract, "overloadFactor", 2)));
+                        number(contract, "overloadFactor", 2)), (int) number(root, "me", -1));
     }
 
     private static RequestClass requestClass(Map<String, Object> c) {
--- a/src/test/java/mulleinfront/emulator/Broken.java
+++ b/src/test/java/mulleinfront/emulator/Broken.java
@@ -59,6 +59,11 @@
             real.onDiscoveryFailed(now);
         }
 
+        @Override
+        public void onDiscoveryFailed(long now, long quietUs) {
+            real.onDiscoveryFailed(now, quietUs);
+        }
+
         @Override
         public void onRequest(long now, Request request) {
             real.onRequest(now, request);
