--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -111,7 +111,12 @@
 
             @Override
             public void failed() {
-                watchFailed();
+                askAgain(core::discoveryFailed);
+            }
+
+            @Override
+            public void lost(long quietUs) {
+                askAgain(() -> core.watchLost(quietUs));
             }
         });
         this.frontend = new Frontend(this, standing, loop, half);
@@ -362,7 +367,7 @@
         loop.execute(() -> {
             try {
                 InetSocketAddress address = to == null ? ownDiscovery : Listing.address(to);
-                core.run(() -> discovery.move(address));
+                moveTo(address);
             } catch (IOException e) {
                 System.err.println("mulleinfront: discovery stays where it is: " + e.getMessage());
             }
@@ -512,10 +517,14 @@
     public void reload(Config changed) {
         loop.execute(() -> {
             ownDiscovery = changed.discovery();
-            core.run(() -> discovery.move(ownDiscovery));
+            moveTo(ownDiscovery);
         });
     }
 
+    private void moveTo(InetSocketAddress address) {
+        core.run(() -> discovery.move(address, config.settings().subscribe() ? core.moveDelayUs() : 0));
+    }
+
     /** The port it listens on. */
     public int port() {
         return frontend.port();
@@ -530,9 +539,10 @@
         return clock.now();
     }
 
-    private void watchFailed() {
+    /** Where discovery is asked, by the module's word. */
+    private void askAgain(Runnable tell) {
         if (config.settings().subscribe()) {
-            core.discoveryFailed();
+            tell.run();
         } else {
             loop.schedule(discovery::watch, Wire.AGENT_AGAIN_US, TimeUnit.MICROSECONDS);
         }
