--- a/src/main/java/mulleinfront/proxy/ClientChannel.java
+++ b/src/main/java/mulleinfront/proxy/ClientChannel.java
@@ -11,6 +11,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 
 /**
@@ -153,15 +154,25 @@
             }
         }
 
-        /** Closes, but takes first what the system has accepted: it would reset that, and what was sent there. */
-        void closeAfterAll() {
-            if (!inherited && isActive()) {
-                do {
-                    accepted = 0;
-                    unsafe().read();
-                } while (accepted > 0);
+        /**
+         * Closes, but takes first what the system has accepted: it would reset that, and what was sent there. A read
+         * at a time, since what is closed to make room frees its descriptor only with the loop's next select; and as
+         * long as there is room.
+         *
+         * @param reads made at most
+         * @param then run when it is closed
+         */
+        void closeAfterAll(int reads, Runnable then) {
+            accepted = 0;
+            if (!inherited && isActive() && config().isAutoRead() && reads > 0) {
+                unsafe().read();
+            }
+            if (accepted > 0) {
+                eventLoop().schedule(() -> closeAfterAll(reads - 1, then), 1, TimeUnit.MILLISECONDS);
+            } else {
+                close();
+                then.run();
             }
-            close();
         }
     }
 }
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -57,6 +57,8 @@
     private static final int MOST_AHEAD_BYTES = 16 * Framing.MOST_BODY;
     private static final int MOST_HELD = 8 * 1024 * 1024;
     private static final int READ_BYTES = 8 * 1024;
+    /** Connections that the system accepts for us before we do. */
+    private static final int BACKLOG = 1024;
     /** What a request that waits takes besides its body, about. */
     private static final int HEAD_BYTES = 1024;
     /**
@@ -147,7 +149,7 @@
         }
         return new ServerBootstrap().group(loop)
                 .option(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
-                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .childOption(ChannelOption.ALLOCATOR, Upstream.BUFFERS)
                 .childOption(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -242,20 +244,24 @@
     void drain(Runnable done) {
         standing.ending();
         lastAnswerNanos = System.nanoTime() + TimeUnit.MICROSECONDS.toNanos(proxy.ending());
+        // The last call is no timer of its own: what was accepted just now by a loop that had stood still is read first.
+        Runnable closed = () -> loop.schedule(() -> lastCall(done), DRAIN_MS - LISTEN_ON_MS, TimeUnit.MILLISECONDS);
         loop.schedule(() -> {
-            if (server != null) {
-                server.closeAfterAll();
-            }
-            // Not by a timer of its own: what was accepted just now by a loop that had stood still is read first.
-            loop.schedule(() -> {
-                deaf = true;
-                lastReadNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_READ_MS);
-                clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
-                clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
-            }, DRAIN_MS - LISTEN_ON_MS, TimeUnit.MILLISECONDS);
+            if (server == null) {
+                closed.run();
+            } else {
+                server.closeAfterAll(BACKLOG, closed);
+            }
         }, LISTEN_ON_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void lastCall(Runnable done) {
+        deaf = true;
+        lastReadNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_READ_MS);
+        clients.forEach(c -> c.pipeline().get(Client.class).lastCall());
+        clients.newCloseFuture().addListener((Future<Void> f) -> done.run());
+    }
+
     /** Closes at once, the listener and all that it accepted. */
     void close() {
         if (server != null) {
