--- a/src/test/java/mulleinfront/emulator/GraphWorldTest.java
+++ b/src/test/java/mulleinfront/emulator/GraphWorldTest.java
@@ -122,6 +122,22 @@
         }
     }
 
+    @Test
+    void aServerIsToldTheTimeOfItsAttemptOrOfTheWholeCall() throws Exception {
+        for (String file : List.of("world", "told")) {
+            GraphWorld world = world(few(file, 100, 1_000_000), 1);
+            GraphMachine front = world.machines.get(0);
+            GraphRequest request = new GraphRequest("s1", 0, 0, null, 1, 0, 500, 1_000);
+            Handling root = new Handling(world, request, null, front, 1_000, end -> { });
+            CallGraph.Edge edge = front.node.calls().get(0);
+            Hop hop = new Hop(world, edge, root, 0, "s1.0", 900);
+            Host hub = world.part(edge.to()).hosts.get(0);
+            Handling below = hop.serve(hub, 600, end -> { });
+            assertEquals(file.equals("told") ? 900 : 600, below.endsAt);
+            assertEquals(1, below.depth);
+        }
+    }
+
     // ---- what is played ------------------------------------------------------------------------------
 
     @Test
