--- a/src/main/java/mulleinfront/keep/DiskLog.java
+++ b/src/main/java/mulleinfront/keep/DiskLog.java
@@ -94,7 +94,8 @@
             }
             committed = number("committed");
             restore();
-        } catch (MVStoreException | IllegalArgumentException e) {
+        } catch (RuntimeException | AssertionError e) {
+            // MVStore meets a file that isn't whole with whatever it stumbles over, a null among them.
             if (opened != null) {
                 opened.closeImmediately();
             }
@@ -108,8 +109,10 @@
                 .valueType(ByteArrayDataType.INSTANCE);
     }
 
-    private static String line(Exception e) {
-        return String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+    private static String line(Throwable e) {
+        String message = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+        return e instanceof IllegalArgumentException || e instanceof MVStoreException ? message
+                : "is not whole: " + e.getClass().getSimpleName() + " " + message;
     }
 
     // ---- at the start
@@ -155,7 +158,11 @@
 
     @Override
     public RestoredRaftState restored() {
-        return restore();
+        try {
+            return restore();
+        } catch (MVStoreException | NullPointerException | IndexOutOfBoundsException e) {
+            throw new IllegalArgumentException(line(e), e);
+        }
     }
 
     @Override
@@ -225,7 +232,7 @@
         }
         try {
             change.run();
-        } catch (MVStoreException e) {
+        } catch (RuntimeException | AssertionError e) {
             fault = new IOException(file + ": " + line(e), e);
             throw fault;
         }
--- a/src/test/java/mulleinfront/keep/KeepWorldTest.java
+++ b/src/test/java/mulleinfront/keep/KeepWorldTest.java
@@ -13,7 +13,10 @@
 class KeepWorldTest {
     private static final int SECONDS = 60;
 
-    /** Among these seeds are some in which, by the library alone, a keeper never comes up with the others again. */
+    /**
+     * Among these seeds are some in which, by the library alone, a keeper never comes up with the others
+     * again.
+     */
     @Test
     void oneTruthThroughLossCrashesAndCuts() {
         for (long seed = 1; seed <= 110; seed++) {
