A control machine that can take no part any more ends, and says why

Seen: keep went on with a keeper that had stopped (its folder an older copy): a process in touch with nobody, its reason nowhere. It ends with code 1 and the keeper's reason; its readers look for another. On sockets: a machine restored to an older copy ends, nobody goes back, the next change is in force at all.

--- a/src/main/java/mulleinfront/cli/KeepCommand.java
+++ b/src/main/java/mulleinfront/cli/KeepCommand.java
@@ -12,6 +12,8 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import mulleinfront.handout.HandoutServer;
 import mulleinfront.keep.KeepSettings;
 import mulleinfront.keep.KeeperNode;
@@ -30,6 +32,9 @@
                 + " keeps them and hands them out.",
         footer = {"", "Exit codes: 0 ended by SIGTERM; 1 it can't go on; 2 bad input."})
 final class KeepCommand implements Callable<Integer> {
+    /** How often it is looked whether it still takes part. */
+    private static final long LOOK_MS = 200;
+
     @Spec
     private CommandSpec spec;
 
@@ -75,7 +80,14 @@
         }
         loop.execute(node::start);
         CountDownLatch ended = new CountDownLatch(1);
+        loop.scheduleWithFixedDelay(() -> {
+            if (node.status().fault() != null) {
+                ended.countDown();
+            }
+        }, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+        AtomicBoolean told = new AtomicBoolean();
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            told.set(true);
             try {
                 server.close();
                 loop.submit(node::close).await();
@@ -87,6 +99,10 @@
         spec.commandLine().getErr().println("mulleinfront: control machine " + own.name() + " hands out on "
                 + NetUtil.toSocketAddressString(server.address()));
         ended.await();
-        return CommandLine.KEPT;
+        if (told.get()) {
+            return CommandLine.KEPT;
+        }
+        // Whoever watches it finds another; it takes no part until somebody has looked at its folder.
+        throw new IOException("control machine " + own.name() + " ends: " + node.status().fault());
     }
 }
--- a/src/test/java/mulleinfront/proxy/ConfigServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ConfigServeTest.java
@@ -14,6 +14,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import mulleinfront.proxy.ControlMachines.Reader;
 import mulleinfront.proxy.Peers.Client;
 import org.junit.jupiter.api.AfterEach;
@@ -157,6 +158,51 @@
         control.check();
     }
 
+    @Test
+    void aMachineRestoredToAnOlderCopyEndsAndTakesNobodyBack() throws Exception {
+        control.startAll();
+        control.follow(6);
+        control.propose(1, "");
+        control.awaitAll(1);
+        control.kill(3);
+        Path folder3 = folder.resolve("dir3");
+        Path older = folder.resolve("older3");
+        copy(folder3, older);
+        control.start(3);
+        control.propose(2, "");
+        control.propose(3, "");
+        control.awaitAll(3);
+        ControlMachines.await("the third has them too",
+                () -> control.config("status").contains("c3               version 3"));
+        control.kill(3);
+        copy(older, folder3);
+        control.start(3);
+        assertTrue(control.machines[2].waitFor(Peers.PATIENCE_S, TimeUnit.SECONDS), "it ends");
+        assertEquals(1, control.machines[2].exitValue());
+        assertTrue(Files.readString(folder.resolve("errors3")).contains("older copy"),
+                Files.readString(folder.resolve("errors3")));
+        control.propose(4, "");
+        control.awaitAll(4);
+        control.check();
+    }
+
+    /** All files of a folder, and nothing else there. */
+    private static void copy(Path from, Path to) throws Exception {
+        if (Files.exists(to)) {
+            try (Stream<Path> old = Files.list(to)) {
+                for (Path p : old.toList()) {
+                    Files.delete(p);
+                }
+            }
+        }
+        Files.createDirectories(to);
+        try (Stream<Path> all = Files.list(from)) {
+            for (Path p : all.toList()) {
+                Files.copy(p, to.resolve(p.getFileName()));
+            }
+        }
+    }
+
     @Test
     void aClientProxyStoppedThroughThreeChanges() throws Exception {
         control.startAll();
