--- a/src/main/java/mulleinfront/CallSchedule.java
+++ b/src/main/java/mulleinfront/CallSchedule.java
@@ -3,29 +3,32 @@
 import java.util.SplittableRandom;
 
 /**
- * When an instance calls discovery. What discovery has to tell counts as told 6 s after it had it and could be reached,
- * whatever became of the calls before; and it works through calls in turn, so that a call it gives up has cost it as much
- * as an answer: once more wait than it answers within its patience none is answered in time, and their repeats keep it
- * so.
+ * When an instance calls discovery. What discovery has to tell counts as told 6 s after it had it and could
+ * be reached, whatever became of the calls before; and it works through calls in turn, so that a call it
+ * gives up has cost it as much as an answer: once more wait than it answers within its patience none is
+ * answered in time, and their repeats keep it so.
  *
- * <p>Both are kept by time slots (time-division multiple access): in each {@link #PERIOD_US} every instance has one place
- * of its own, by its number among all, on the clock that all machines read. One whose watch is lost calls in its place,
- * so
+ * <p>Both are kept by time slots (time-division multiple access): in each {@link #PERIOD_US} every instance
+ * has one place of its own, by its number among all, on the clock that all machines read. One whose watch is
+ * lost calls in its place, so
  *
  * <ul>
- * <li>a call begins at most one period after discovery could be reached, be it after a refusal, a reset or a call that
- * nobody answered; of a watch that fell silent, at most one period after the last that was heard;
- * <li>calls of all that fail at one moment come evenly, however many they are: discovery that answers one call of each
- * within 3 s has next to no queue to work off.
+ * <li>a call begins at most one period after discovery could be reached, be it after a refusal, a reset or a
+ * call that nobody answered; of a watch that fell silent, at most one period after the last that was heard;
+ * <li>calls of all that fail at one moment come evenly, however many they are: discovery that answers one
+ * call of each within 3 s has next to no queue to work off.
  * </ul>
  *
- * <p>So the bound is 4 s and the call. A call that fails after a wait says that discovery is down, or bears less than is
- * asked of it: then calls come at random within the period, since in turn each would meet the same full queue.
+ * <p>So the bound is 4 s and the call. A call that fails after a wait says that discovery is down, or bears
+ * less than is asked of it: then calls come at random within the period, since in turn each would meet the
+ * same full queue.
  *
  * <p>Where an instance is not told its number it draws its place.
  */
 final class CallSchedule {
-    /** Time in which each instance has one place for a call, microseconds: leaves 2 s of the 6 for the call. */
+    /**
+     * Time in which each instance has one place for a call, microseconds: leaves 2 s of the 6 for the call.
+     */
     static final long PERIOD_US = 4_000_000;
     /** Longest wait at the start of one that holds no list: it can serve nobody until then, microseconds. */
     static final long EMPTY_US = 2_000_000;
@@ -79,8 +82,8 @@
     }
 
     /**
-     * When to call after a watch ended or fell silent: with all others, over as long as the calls of all take if each
-     * takes what the last did.
+     * When to call after a watch ended or fell silent: with all others, over as long as the calls of all take
+     * if each takes what the last did.
      *
      * @param quietUs since when nothing had come of it, microseconds
      */
--- a/src/main/java/mulleinfront/core/Wire.java
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -17,12 +17,15 @@
     /** Fresh connections to one attempt, as long as they are reset before a request is written whole. */
     int MOST_FRESH = 3;
     /**
-     * Discovery's heartbeat comes every 2 s: one that is a second late is silence. What a silent watch misses counts as
-     * told 6 s after it fell silent even if it never came, so by then the next call must have been answered, with those
-     * of all others whose watches fell silent in the same moment.
+     * Discovery's heartbeat comes every 2 s: one that is a second late is silence. What a silent watch misses
+     * counts as told 6 s after it fell silent even if it never came, so by then the next call must have been
+     * answered, with those of all others whose watches fell silent in the same moment.
      */
     long SILENCE_US = 3_000_000;
-    /** The same of a call that nothing has come of yet: it may wait for its turn, and discovery gives up after 2 or 3 s. */
+    /**
+     * The same of a call that nothing has come of yet: it may wait for its turn, and discovery gives up after
+     * 2 or 3 s.
+     */
     long CALL_SILENCE_US = 3_500_000;
     /**
      * The agent that pushes lists answers at once and at no cost: a broken watch of it is asked for after
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -212,7 +212,8 @@
                 @Override
                 protected void initChannel(SocketChannel ch) {
                     channel = ch;
-                    ch.pipeline().addLast(silence, new HttpResponseDecoder(), new Body(), new Objects(), Watch.this);
+                    ch.pipeline().addLast(silence, new HttpResponseDecoder(), new Body(), new Objects(),
+                            Watch.this);
                 }
             };
         }
--- a/src/test/java/mulleinfront/emulator/DiscoveryBoundTest.java
+++ b/src/test/java/mulleinfront/emulator/DiscoveryBoundTest.java
@@ -19,15 +19,18 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * How long it takes until every client proxy has what discovery has, whatever became of its calls: a drain counts as
- * told 6 s after discovery had it and could be reached.
+ * How long it takes until every client proxy has what discovery has, whatever became of its calls: a drain
+ * counts as told 6 s after discovery had it and could be reached.
  */
 class DiscoveryBoundTest {
     private static final double S = 1e6;
     private static final int[] SIZES = {5, 30, 100, 200, 670};
     /** What counts as told after 6 s has to be there by then with room to spare, seconds. */
     private static final double BOUND = 5.5;
-    /** Discovery answers a call of each in this time, seconds; where it gives calls up itself it has to be quicker. */
+    /**
+     * Discovery answers a call of each in this time, seconds; where it gives calls up itself it has to be
+     * quicker.
+     */
     private static final double ALL_CALL_S = 3;
     private static final double ALL_CALL_GIVEN_UP_S = 2;
     private static final long SEEDS = 3;
@@ -119,7 +122,8 @@
     @MethodSource("all")
     void allHaveTheDrainInTime(Trouble trouble, int instances) throws Exception {
         for (long seed = 1; seed <= SEEDS; seed++) {
-            Played p = play(instances, trouble == Trouble.GIVEN_UP ? ALL_CALL_GIVEN_UP_S : ALL_CALL_S, trouble, seed);
+            Played p = play(instances,
+                    trouble == Trouble.GIVEN_UP ? ALL_CALL_GIVEN_UP_S : ALL_CALL_S, trouble, seed);
             assertTrue(p.longestS() < BOUND, "seed " + seed + ": " + p);
         }
     }
