A proposal overtaken by later messages no longer stops the keeper that sent it on

Seen: with three keepers as processes, a follower that had sent a proposal on stopped at the 98th change, "your directory is an older copy", in one of two trials; a second one gone then left no majority. Cause: each request named the sender's number of saves, but a proposal has a connection of its own, on which it may be read after a later message of the consensus with a greater number.

Change: only messages of the consensus, which go in order over one connection, are held against what was heard; a proposal promises nothing. The test gives 409 without the change and 200 with it; a vote with too few saves still gets 409.

--- a/src/main/java/mulleinfront/keep/KeeperWire.java
+++ b/src/main/java/mulleinfront/keep/KeeperWire.java
@@ -47,7 +47,7 @@
  * on has a connection of its own, and its answer as the body. All bounded: bytes of a message, messages
  * unanswered, connections.
  *
- * <p>Each request names its sender and how many saves that had made when it sent it ({@link DiskLog#saves}).
+ * <p>Each message of the consensus names its sender and how many saves that had made when it sent it ({@link DiskLog#saves}).
  * A keeper remembers the greatest number it has heard of each other one, durably with its own next save. One
  * that says less has forgotten what it said: its disk is an older copy, or empty. Its message is dropped and
  * answered by 409, on which it stops: it must not vote again.
@@ -355,8 +355,6 @@
                 } catch (IllegalArgumentException e) {
                     // Not an answer: as if none had come.
                 }
-            } else if (response.status().equals(HttpResponseStatus.CONFLICT)) {
-                forgot("that leads", response);
             }
             finish(answer);
             ctx.close();
@@ -393,11 +391,10 @@
                         answer(ctx, HttpResponseStatus.NO_CONTENT, "");
                     }
                 } else if (request.uri().equals(PROPOSE)) {
-                    Proposal proposal = Codec.proposal(body);
-                    if (remembers(ctx, sender, saves)) {
-                        keeper.proposeHere(proposal, a -> loop.execute(() ->
-                                respond(ctx, HttpResponseStatus.OK, Codec.answer(a))));
-                    }
+                    // On a connection of its own it may be overtaken by what was sent after it, with more saves;
+                    // and it promises nothing.
+                    keeper.proposeHere(Codec.proposal(body), a -> loop.execute(() ->
+                            respond(ctx, HttpResponseStatus.OK, Codec.answer(a))));
                 } else {
                     answer(ctx, HttpResponseStatus.NOT_FOUND, "no such path\n");
                 }
--- a/src/test/java/mulleinfront/keep/KeeperNodeTest.java
+++ b/src/test/java/mulleinfront/keep/KeeperNodeTest.java
@@ -211,6 +211,31 @@
         }
     }
 
+    /** Posts as k2 would, with a number of saves below what it had said. */
+    private static int post(Trio trio, String path, byte[] body) throws Exception {
+        java.net.URI uri = java.net.URI.create("http://127.0.0.1:" + trio.addresses.get("k1").getPort() + path);
+        java.net.http.HttpRequest request = java.net.http.HttpRequest.newBuilder(uri)
+                .header(KeeperWire.SENDER, "k2").header(KeeperWire.SAVES, "0")
+                .POST(java.net.http.HttpRequest.BodyPublishers.ofByteArray(body)).build();
+        return java.net.http.HttpClient.newHttpClient()
+                .send(request, java.net.http.HttpResponse.BodyHandlers.discarding()).statusCode();
+    }
+
+    @Test
+    void aProposalOvertakenByLaterMessagesIsNoSignOfAnOlderDisk() throws Exception {
+        try (Trio trio = Trio.started(home)) {
+            trio.settle("k2", Trio.proposal("one", 0, "a"));
+            trio.next("k1");
+            assertEquals(200, post(trio, KeeperWire.PROPOSE, Codec.proposal(Trio.proposal("two", 1, "b"))));
+            assertEquals(409, post(trio, KeeperWire.RAFT, Codec.message(
+                    new io.microraft.model.impl.DefaultRaftModelFactory().createPreVoteRequestBuilder()
+                            .setGroupId(Codec.GROUP).setSender(new Member("k2")).setTerm(1).setLastLogTerm(0)
+                            .setLastLogIndex(0).build())));
+            assertEquals(400, post(trio, KeeperWire.RAFT, new byte[] {9}));
+            assertEquals(404, post(trio, "/else", new byte[0]));
+        }
+    }
+
     private static void copy(Path from, Path to) throws IOException {
         Files.createDirectories(to);
         try (Stream<Path> files = Files.list(from)) {
