--- a/src/test/java/mulleinfront/proxy/ConfigMeasure.java
+++ b/src/test/java/mulleinfront/proxy/ConfigMeasure.java
@@ -25,7 +25,8 @@
         List<Double> healthy = new ArrayList<>();
         List<Double> killed = new ArrayList<>();
         for (int round = 0; round < rounds; round++) {
-            try (ControlMachines control = new ControlMachines(Files.createTempDirectory("config-measure"))) {
+            Path folder = Files.createTempDirectory("config-measure");
+            try (ControlMachines control = new ControlMachines(folder, false, 4)) {
                 control.startAll();
                 control.follow(count);
                 StringBuilder keys = new StringBuilder();
--- a/src/test/java/mulleinfront/proxy/ControlMachines.java
+++ b/src/test/java/mulleinfront/proxy/ControlMachines.java
@@ -33,6 +33,7 @@
         final List<Long> history = new CopyOnWriteArrayList<>();
         final List<Long> atNanos = new CopyOnWriteArrayList<>();
         Following following;
+        EventLoop loop;
 
         long newest() {
             return history.isEmpty() ? 0 : history.get(history.size() - 1);
@@ -53,13 +54,22 @@
     final Path file;
     final Process[] machines = new Process[3];
     final List<Reader> readers = new ArrayList<>();
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-            NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group;
 
     ControlMachines(Path folder) throws Exception {
+        this(folder, true, 1);
+    }
+
+    /**
+     * @param keep whether readers keep copies
+     * @param loops event loops of the readers
+     */
+    ControlMachines(Path folder, boolean keep, int loops) throws Exception {
+        this.group = new MultiThreadIoEventLoopGroup(loops, NioIoHandler.newFactory());
         this.folder = folder;
         this.file = folder.resolve("control.toml");
-        StringBuilder text = new StringBuilder("state = \"" + folder.resolve("state") + "/%n\"\nevents = \""
+        StringBuilder text = new StringBuilder(
+                keep ? "state = \"" + folder.resolve("state") + "/%n\"\n" : "").append("events = \""
                 + folder.resolve("events-%n.json") + "\"\n");
         Set<Integer> ports = new HashSet<>();
         for (int i = 1; i <= 3; i++) {
@@ -123,6 +133,7 @@
         for (int i = 0; i < count; i++) {
             Reader reader = new Reader();
             EventLoop loop = group.next();
+            reader.loop = loop;
             reader.following = new Following(loop, UnpooledByteBufAllocator.DEFAULT, control,
                     "r" + readers.size(),
                     ThreadLocalRandom.current().nextLong(), (v, how) -> {
@@ -189,7 +200,7 @@
     @Override
     public void close() throws Exception {
         for (Reader r : readers) {
-            group.next().submit(r.following::close).await();
+            r.loop.submit(r.following::close).await();
         }
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await();
         for (Process p : machines) {
