Handing out: a reader that has more than its machine is sent nothing older

Need: with the serving side's guard taken out (newest <= sent made newest == sent) HandoutHardTest and FollowerTest still passed, since the follower guards too. This test holds the serving side by itself.

--- a/src/test/java/mulleinfront/config/HandoutHardTest.java
+++ b/src/test/java/mulleinfront/config/HandoutHardTest.java
@@ -383,6 +383,20 @@
                 + " lines for one reader that keeps up and one that does not");
     }
 
+    @Test
+    void whoHasMoreThanAMachineIsSentNothingOlder() {
+        Log log = new Log();
+        Sent sent = new Sent();
+        Handout handout = new Handout(HandoutSettings.USUAL, log, sent);
+        log.propose(new Proposal("a", -1, new TreeMap<>(Map.of("k", "v")), "", 0), a -> { });
+        assertTrue(handout.open(0, 1, "ahead", 3, 77));
+        for (long now = 0; now < 3 * S; now += S / 20) {
+            handout.onTimer(now);
+        }
+        assertEquals(0, sent.lines, "version 1 is older than what it has");
+        assertTrue(sent.bytes.get(1L) > 0, "it hears that the machine is there");
+    }
+
     @Test
     void whoWatchesAnewHasOneWatchAndWhoIsSilentNone() {
         Log log = new Log();
