--- a/src/main/java/mulleinfront/bench/TimedHost.java
+++ b/src/main/java/mulleinfront/bench/TimedHost.java
@@ -21,8 +21,8 @@
 /** A host that says with each answer how long it had the request: all other time was spent on the way. */
 final class TimedHost extends SimpleChannelInboundHandler<ByteBuf> {
     /**
-     * The body is the nanoseconds from the request's last byte to the answer's first, in so many digits: a client
-     * proxy passes bodies on as they are, and not every head.
+     * The body is the nanoseconds from the request's last byte to the answer's first, in so many digits: a
+     * client proxy passes bodies on as they are, and not every header.
      */
     static final int DIGITS = 12;
     private static final AtomicLong SEEDS = new AtomicLong(1);
@@ -61,9 +61,10 @@
             seen = b == '\n' ? seen + 1 : b == '\r' ? seen : 0;
             if (seen == 2) {
                 seen = 0;
-                ctx.executor().schedule(() -> ctx.writeAndFlush(Unpooled.copiedBuffer(String.format(Locale.ROOT,
-                        "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%0" + DIGITS + "d", DIGITS,
-                        System.nanoTime() - now), StandardCharsets.US_ASCII)),
+                ctx.executor().schedule(() -> ctx.writeAndFlush(Unpooled.copiedBuffer(
+                        String.format(Locale.ROOT, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%0" + DIGITS
+                        + "d",
+                        DIGITS, System.nanoTime() - now), StandardCharsets.US_ASCII)),
                         (long) (micros * (0.5 + random.nextDouble())), TimeUnit.MICROSECONDS);
             }
         }
--- a/src/main/java/mulleinfront/capacity/Capacity.java
+++ b/src/main/java/mulleinfront/capacity/Capacity.java
@@ -29,7 +29,9 @@
         this.needs = List.copyOf(needs);
         for (Slope s : slopes) {
             try {
-                fits.put(s.id(), s.fit());
+                if (!s.points().isEmpty()) {
+                    fits.put(s.id(), s.fit());
+                }
             } catch (IllegalArgumentException e) {
                 throw new IllegalArgumentException("slope " + s.id() + ": " + e.getMessage(), e);
             }
@@ -56,6 +58,7 @@
         return List.copyOf(slopes.values());
     }
 
+    /** The line of a slope; null if it is not measured yet. */
     public Fit fit(String slope) {
         return fits.get(slope);
     }
@@ -99,11 +102,12 @@
         for (Row.Term t : cell.terms()) {
             boolean counted = t.slope().equals(Row.Term.COUNT);
             Fit fit = counted ? null : fits.get(t.slope());
-            if (fit == null && !counted) {
+            if (!counted && !slopes.containsKey(t.slope())) {
                 throw new IllegalArgumentException("row " + row.role() + ", " + row.part() + ", " + row.when()
                         + ": there is no slope " + t.slope());
             }
-            double part = counted ? size.of(t.at()) : fit.at(size.of(t.at()));
+            double part = !counted && fit == null ? Double.NaN : counted ? size.of(t.at())
+                    : fit.at(size.of(t.at()));
             for (String times : t.times()) {
                 part *= factor(times);
             }
--- a/src/main/java/mulleinfront/capacity/Page.java
+++ b/src/main/java/mulleinfront/capacity/Page.java
@@ -118,6 +118,11 @@
                 + "| --- | --- | --- | --- | --- |\n");
         for (Slope s : all.slopes()) {
             Fit fit = all.fit(s.id());
+            if (fit == null) {
+                line(out, "`" + s.id() + "`", s.what() + ", " + s.unit() + ", by " + s.per(), "not measured",
+                        "-", "-");
+                continue;
+            }
             StringBuilder points = new StringBuilder();
             s.points().forEach(p -> points.append(points.isEmpty() ? "" : ", ").append(number(p.x()))
                     .append(": ")
--- a/src/main/java/mulleinfront/capacity/Slope.java
+++ b/src/main/java/mulleinfront/capacity/Slope.java
@@ -9,7 +9,7 @@
  * @param what in words
  * @param unit of the figure
  * @param per what is counted by the size: client proxies, hosts in a list, calls a second
- * @param points size and figure
+ * @param points size and figure; none: not measured yet
  * @param command what measures it again
  */
 public record Slope(String id, String what, String unit, String per, List<Fit.Point> points, String command) {
--- a/src/main/java/mulleinfront/cli/CapacityCommand.java
+++ b/src/main/java/mulleinfront/cli/CapacityCommand.java
@@ -171,7 +171,7 @@
         Set<String> used = rows.stream().flatMap(r -> r.cells().stream()).flatMap(c -> c.terms().stream())
                 .map(Row.Term::slope).collect(Collectors.toSet());
         for (Slope s : all.slopes()) {
-            if (used.contains(s.id())) {
+            if (used.contains(s.id()) && all.fit(s.id()) != null) {
                 out.printf(Locale.ROOT, "%-28s %s, by %s: %s%n", s.id(), s.unit(), s.per(), all.fit(s.id())
                         .text());
             }
@@ -188,6 +188,7 @@
                     + r.when(),
                     f.cell().measure().word(), Double.isNaN(f.value()) ? "-" : Page.number(f.value()),
                     bounded ? Page.number(f.budget()) : "-", r.none() ? "none" : bounded
+                            && !Double.isNaN(f.value())
                     ? String.format(Locale.ROOT, "%.0f%%", 100 * f.margin()) : "-", f.over() ? "  over" : "");
         }
         boolean over = figures.stream().anyMatch(Figure::over);
--- a/src/test/java/mulleinfront/capacity/CapacityTest.java
+++ b/src/test/java/mulleinfront/capacity/CapacityTest.java
@@ -62,6 +62,16 @@
         assertTrue(all.at(all.size().withHosts(1340)).figures().get(0).over());
     }
 
+    @Test
+    void whatIsNotMeasuredYetIsNoFigureAndNoUnknownSlope() {
+        Slope later = new Slope("later", "something", "bytes/s", "client proxies", List.of(), "a command");
+        Row row = row("x", "at rest", "m", bytes("bytes-budget", new Term("later", "hosts", List.of())));
+        Capacity all = new Capacity(new Size(GIVEN), List.of(later), List.of(row), List.of());
+        assertTrue(Double.isNaN(all.figures().get(0).value()));
+        assertEquals(List.of(), all.order());
+        assertTrue(new Page(all).rows("client proxy", "x").contains("not measured"));
+    }
+
     @Test
     void whatNothingCarriesComesFirstAndThenWhatIsOver() {
         Capacity all = new Capacity(new Size(GIVEN), List.of(), List.of(
