The emulator draws fleets that collapse, and forgets no effect for another's window

Family jam (emulate draw jam): servers that work on all they hold at once, also on what nobody waits for, at 65 to 82% of what they can do, with a burst of half as much again.

Group.knows forgot, once over a thousand effects were kept, all that were older than the window of the request at hand, also those whose own window was longer. It keeps the end of each window now. The test added fails without it (0 repeats dropped for 1).

--- a/src/main/java/mulleinfront/emulator/Drawn.java
+++ b/src/main/java/mulleinfront/emulator/Drawn.java
@@ -12,7 +12,12 @@
     /** What happens in them. */
     public enum Family {
         /** Seven in ten client proxies are killed in the midst of a release of the servers. */
-        HERD;
+        HERD,
+        /**
+         * A fleet near what it can do is asked for more for some seconds. Its servers work on all that they hold at
+         * once, also on what nobody waits for any more, and those that held too much for a while stay slow.
+         */
+        JAM;
 
         /** The name on the command line. */
         public String word() {
@@ -57,6 +62,44 @@
             worth = 5
             """;
 
+    private static final String JAM_CLASSES = """
+
+            [[class]]
+            name = "read"
+            share = "54%"
+            work = "74ms"
+            dist = "lognormal"
+            effect = "safe"
+            aim = "500ms"
+            deadline = "1s"
+            worth = 5
+            late-worth = "25%"
+
+            [[class]]
+            name = "move"
+            share = "27%"
+            work = "46ms"
+            effect = "keyed"
+            group = "zone"
+            window = "4s"
+            aim = "250ms"
+            deadline = "750ms"
+            worth = 3
+            late-worth = "30%"
+
+            [[class]]
+            name = "buy"
+            share = "19%"
+            work = "92ms"
+            effect = "keyed"
+            group = "zone"
+            window = "3s"
+            aim = "600ms"
+            deadline = "1.5s"
+            worth = 15
+            late-worth = "50%"
+            """;
+
     private final Chance chance;
     private final StringBuilder out = new StringBuilder();
 
@@ -75,6 +118,7 @@
         Drawn d = new Drawn(family, seed);
         return switch (family) {
             case HERD -> d.herd(seed, instances, startUs);
+            case JAM -> d.jam(seed, instances, startUs);
         };
     }
 
@@ -145,4 +189,40 @@
         line("%n[[fault]]%n" + bad[chance.below(bad.length)] + "%nat = \"2s\"%npart = \"%.1f%%\"", 12.5);
         return out.toString();
     }
+
+    private String jam(long seed, int instances, long startUs) {
+        line("# Drawn: emulate draw jam --seed %d --instances %d", seed, instances);
+        line("%n[scenario]%ntitle = \"a burst leaves the servers of %d client proxies slow\"", instances);
+        line("length = \"40s\"");
+        int hosts = Math.max(12, Math.min(200, (int) (instances * between(0.5, 0.75))));
+        line("%n[network]%nzones = [\"zone-a\", \"zone-b\", \"zone-c\"]%ncross = [\"5ms\", \"10ms\"]");
+        line("%n[discovery]%ncall = \"%s\"", time(2e6 / instances));
+        line("%n[proxies]%ncount = %d%nspread = %.2f%nstart-within = \"%s\"%nstart = \"%s\"", instances,
+                between(0.3, 0.8), time(between(1e5, 1e6)), time(startUs >= 0 ? startUs : between(5e5, 2e6)));
+        line("%n[clients]%nretries = %d%nbackoff = [\"12ms\", \"100ms\"]%nhonour = \"%.0f%%\"",
+                1 + chance.below(2), between(30, 90));
+        line("patience = [\"%.0f%%\", \"100%%\"]", between(50, 90));
+        line("%n[limits]%nattempts = 5%nprobes = false%nretry-after = \"1.5s\"");
+        String stops = chance.below(2) == 0 ? "none" : "queued";
+        String linger = String.format(Locale.ROOT, "linger-at = %.1f%nlinger-after = \"%s\"%nlinger-slower = %.2f%n"
+                + "linger-below = \"%.0f%%\"%nlinger-rest = \"%s\"%nlinger-most = \"%s\"", between(4, 7),
+                time(between(1.5e6, 2.5e6)), between(2.3, 3.4), between(25, 40), time(between(2.3e6, 4.6e6)),
+                time(between(1.8e7, 3.1e7)));
+        for (String group : new String[] {"new", "old"}) {
+            boolean fresh = group.equals("new");
+            line("%n[[servers]]%nname = \"%s\"%ncount = %d%ncores = 2%nweight = 2%nspeed = [%s]", group,
+                    fresh ? hosts * 3 / 8 : hosts - hosts * 3 / 8, fresh ? "1.5, 2.1" : "0.77, 1");
+            line("slots-per-core = %d%nqueue-per-core = %d%nstops = \"%s\"%ndrops-expired = false",
+                    8 + chance.below(17), 230 + chance.below(500), stops);
+            line("connections-per-core = 750%nhandshake-work = [\"770us\", \"2ms\"]%nidle-close = \"30s\"");
+            line("report-every = [\"48ms\", \"450ms\"]");
+            line("crowd-at = %.1f%ncrowd-loss = \"%.0f%%\"%n%s", between(3.8, 8.3), between(17, 30), linger);
+        }
+        out.append(JAM_CLASSES);
+        line("%n[load]%nof-capacity = \"%.0f%%\"%nshape = \"bursty\"%nswing = \"%.0f%%\"%nkeys = 0",
+                between(65, 82), between(18, 33));
+        line("%n[[fault]]%ndo = \"surge\"%nat = \"%s\"%nfor = \"%s\"%nfactor = 1.5", time(between(6e6, 1.2e7)),
+                time(between(5e6, 1e7)));
+        return out.toString();
+    }
 }
--- a/src/main/java/mulleinfront/emulator/ServerModel.java
+++ b/src/main/java/mulleinfront/emulator/ServerModel.java
@@ -137,28 +137,27 @@
         void ran(Job job, boolean dropped);
     }
 
-    /** When each effect first ran, in a group of servers that drop repeats. */
+    /** Until when each effect is known, in a group of servers that drop repeats. */
     public static final class Group {
-        private final Map<String, Long> ranAt = new LinkedHashMap<>();
+        private final Map<String, Long> knownUntil = new LinkedHashMap<>();
 
         private boolean knows(Job job, long now) {
             if (job.windowUs == 0 || job.effect == null) {
                 return false;
             }
-            if (ranAt.size() > MANY_KEPT) {
-                long window = job.windowUs;
+            if (knownUntil.size() > MANY_KEPT) {
                 // In the order in which they ran: the first that is fresh ends the search.
-                var oldest = ranAt.values().iterator();
-                while (oldest.hasNext() && now - oldest.next() > window) {
+                var oldest = knownUntil.values().iterator();
+                while (oldest.hasNext() && now > oldest.next()) {
                     oldest.remove();
                 }
             }
-            Long at = ranAt.get(job.effect);
-            if (at != null && now - at <= job.windowUs) {
+            Long until = knownUntil.get(job.effect);
+            if (until != null && now <= until) {
                 return true;
             }
-            ranAt.remove(job.effect);
-            ranAt.put(job.effect, now);
+            knownUntil.remove(job.effect);
+            knownUntil.put(job.effect, now + job.windowUs);
             return false;
         }
     }
--- a/src/test/java/mulleinfront/emulator/ServerModelTest.java
+++ b/src/test/java/mulleinfront/emulator/ServerModelTest.java
@@ -382,6 +382,23 @@
         assertEquals(1, other.figures().repeatsDropped);
     }
 
+    @Test
+    void aRequestWithAShortWindowEndsNobodyElsesLongerOne() {
+        // Once many effects were kept, each request forgot all that were older than its own window.
+        ServerModel one = server(new Parts(), new ServerModel.Group());
+        one.offer(job(1, null, "e", Long.MAX_VALUE));
+        for (int i = 0; i < 1100; i++) {
+            until(1 + i);
+            one.offer(job(1, null, "e" + i, Long.MAX_VALUE));
+        }
+        until(5_000);
+        one.offer(new Job("short", 1, null, "s", S, Long.MAX_VALUE, (end, inflight) -> { }));
+        until(6_000);
+        one.offer(job(1, null, "e", Long.MAX_VALUE));
+        until(7_000);
+        assertEquals(1, one.figures().repeatsDropped);
+    }
+
     @Test
     void connectionsAreCappedAndCounted() {
         Parts parts = new Parts();
