--- a/src/test/java/mulleinfront/config/HandoutTest.java
+++ b/src/test/java/mulleinfront/config/HandoutTest.java
@@ -10,11 +10,14 @@
 import mulleinfront.config.HandoutWorld.Machine;
 import mulleinfront.config.HandoutWorld.Proxy;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 
 /**
  * All of a fleet on virtual time: how long a change takes to be in force everywhere, through the faults of
  * its days.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class HandoutTest {
     private static final long S = 1_000_000;
     private static final long BOUND = 6 * S;
--- a/src/test/java/mulleinfront/emulator/ColdHostsTest.java
+++ b/src/test/java/mulleinfront/emulator/ColdHostsTest.java
@@ -7,12 +7,14 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import mulleinfront.Balancer;
 import mulleinfront.Balancer.Endpoint;
 import mulleinfront.Balancer.Request;
 import mulleinfront.Balancer.Settings;
+import mulleinfront.Balancer;
 import mulleinfront.core.Core;
 import mulleinfront.settings.BadFileException;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -21,6 +23,7 @@
  * it within the stated time stays under N + 2 x root of N + 2 requests of mean work, N being what settings
  * allow it then. First attempts, further ones, keys that spill and first requests of new instances all count.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class ColdHostsTest {
     /** What was decided to be sent to each cold host, over all instances. */
     private static final class Meter {
--- a/src/test/java/mulleinfront/emulator/DiscoveryBoundTest.java
+++ b/src/test/java/mulleinfront/emulator/DiscoveryBoundTest.java
@@ -8,12 +8,14 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import mulleinfront.Balancer;
 import mulleinfront.Balancer.Availability;
 import mulleinfront.Balancer.Endpoint;
 import mulleinfront.Balancer.Source;
+import mulleinfront.Balancer;
 import mulleinfront.core.Core;
 import mulleinfront.core.Time;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -22,6 +24,7 @@
  * How long it takes until every client proxy has what discovery has, whatever became of its calls: a drain
  * counts as told 6 s after discovery had it and could be reached.
  */
+@Execution(ExecutionMode.CONCURRENT)
 class DiscoveryBoundTest {
     private static final double S = 1e6;
     private static final int[] SIZES = {5, 30, 100, 200, 670};
--- a/src/test/java/mulleinfront/emulator/GraphWorldTest.java
+++ b/src/test/java/mulleinfront/emulator/GraphWorldTest.java
@@ -20,10 +20,13 @@
 import mulleinfront.settings.BadFileException;
 import mulleinfront.settings.Section;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /** Many services that call each other: a small form of what {@code scenarios/size} plays in full. */
+@Execution(ExecutionMode.CONCURRENT)
 class GraphWorldTest {
     private static final Path SIZE = Worlds.SHIPPED.resolve("size");
     private static final int HOSTS = 260;
--- a/src/test/java/mulleinfront/keep/DiskLogTest.java
+++ b/src/test/java/mulleinfront/keep/DiskLogTest.java
@@ -24,8 +24,11 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 
 /** A keeper's log on disk: killed, cut, changed and put back. */
+@Execution(ExecutionMode.CONCURRENT)
 class DiskLogTest {
     private static final RaftModelFactory MODEL = new DefaultRaftModelFactory();
     /** Bytes from one cut to the next; with -Dkeep.stride=1 each byte is tried, which takes minutes. */
--- a/src/test/java/mulleinfront/keep/KeepWorldTest.java
+++ b/src/test/java/mulleinfront/keep/KeepWorldTest.java
@@ -6,10 +6,13 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Keepers on virtual time, from seeds; and keepers that are wrong, to show that the judge finds them. */
+@Execution(ExecutionMode.CONCURRENT)
 class KeepWorldTest {
     private static final int SECONDS = 60;
 
--- a/src/test/java/mulleinfront/kit/ScaleRunTest.java
+++ b/src/test/java/mulleinfront/kit/ScaleRunTest.java
@@ -14,8 +14,11 @@
 import mulleinfront.settings.BadFileException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 
 /** A fleet of real and hollow client proxies, in small. Order and outcome are judged; what it costs is only printed. */
+@Execution(ExecutionMode.CONCURRENT)
 class ScaleRunTest {
     private static final String JAVA = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
             + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx128m -cp '" + System.getProperty("java.class.path")
