The graph's files of the size are files; the folder beside them has worlds of one service

GraphWorldTest took scenarios/size/one-service, a folder that came from another part of this landing, for a file of its own. What it asserts of the files is as it was.

--- a/src/test/java/mulleinfront/emulator/GraphWorldTest.java
+++ b/src/test/java/mulleinfront/emulator/GraphWorldTest.java
@@ -159,7 +159,7 @@
 
     static List<String> files() throws Exception {
         try (Stream<Path> files = Files.list(SIZE)) {
-            return files.map(f -> f.getFileName().toString().replace(".toml", "")).sorted().toList();
+            return files.filter(Files::isRegularFile).map(f -> f.getFileName().toString().replace(".toml", "")).sorted().toList();
         }
     }
 
