--- a/src/test/java/mulleinfront/cli/CapacityCommandTest.java
+++ b/src/test/java/mulleinfront/cli/CapacityCommandTest.java
@@ -36,7 +36,7 @@
 
     @Test
     void oneThatIsOverIsExitCodeThree() {
-        assertEquals(CommandLine.RULE_BROKEN, run("--as-held", "--role", "configuration"));
+        assertEquals(CommandLine.RULE_BROKEN, run("--as-held", "--role", "services"));
         assertTrue(out.toString().contains("none  over"), out.toString());
     }
 
--- a/src/test/java/mulleinfront/proxy/CrossingsTest.java
+++ b/src/test/java/mulleinfront/proxy/CrossingsTest.java
@@ -234,7 +234,7 @@
         Seen first = Peers.next(out, "the safe one");
         Client unsafe = client().unsafe("unsafe", 20_000);
         Seen second = Peers.next(out, "the unsafe one");
-        before.socket.close();
+        before.listenNoMore();
         first.reset();
         assertEquals(Outcome.CONNECT_ERROR, Peers.next(held, "nobody is there").outcome());
         // One word says that it is gone and that there is another, while an attempt is still out at the first.
--- a/src/test/java/mulleinfront/proxy/Peers.java
+++ b/src/test/java/mulleinfront/proxy/Peers.java
@@ -127,6 +127,8 @@
             thread.start();
         }
 
+        private final CompletableFuture<Void> deaf = new CompletableFuture<>();
+
         private void accept() {
             try {
                 while (true) {
@@ -135,10 +137,17 @@
                     start(() -> serve(s));
                 }
             } catch (IOException e) {
-                // closed: the test is over
+                // closed
+                deaf.complete(null);
             }
         }
 
+        /** Listens no more; returns once nobody takes a connection: a close alone leaves who waits for one a moment. */
+        void listenNoMore() throws Exception {
+            socket.close();
+            deaf.get(PATIENCE_S, TimeUnit.SECONDS);
+        }
+
         private void serve(Socket s) {
             CompletableFuture<Void> ended = new CompletableFuture<>();
             try {
