Logs and metrics the incident lacked: calls of discovery, states, reasons

Change: events with the instance on standard error (each call's begin, answer, list, end with its reason; states), metrics by reason every 10 s where they changed and at the operators' door ('metrics'). Counting allocates nothing.

--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -40,6 +40,7 @@
     private final Time time;
     private final Wire<Q, A> wire;
     private final Consumer<Throwable> defects;
+    private final Metrics metrics;
     private final Map<String, Exchange<Q, A>> open = new HashMap<>();
     /** Hosts that the lists told so far say are ready, whether or not the module has taken note of it. */
     private final Set<String> ready = new HashSet<>();
@@ -72,6 +73,8 @@
         private int outNumber;
         private int attempts;
         private boolean mayHaveRun;
+        /** How the last attempt ended; of use once there was one. */
+        private Outcome lastOutcome = Outcome.IGNORED;
         /** When the first attempt that may have run was sent; the window for repeats counts from then. */
         private long mayHaveRunAt;
         private boolean answered;
@@ -105,6 +108,16 @@
      * @param defects told of what an event or action threw; the request that it was about keeps its guard
      */
     public Core(Settings settings, Time time, Wire<Q, A> wire, Consumer<Throwable> defects) {
+        this(settings, time, wire, defects, new Metrics());
+    }
+
+    /**
+     * The same with metrics that its owner shows to operators.
+     *
+     * @param metrics counted here and by the wire
+     */
+    public Core(Settings settings, Time time, Wire<Q, A> wire, Consumer<Throwable> defects, Metrics metrics) {
+        this.metrics = metrics;
         this.settings = settings;
         this.time = time;
         this.wire = wire;
@@ -276,6 +289,7 @@
         // The module is told what the client said: less would look like what a repeat has left.
         long most = lastAt - time.now();
         if (Math.min(budget, most) <= 0) {
+            metrics.answers.add(Metrics.Answer.REFUSED_NO_TIME);
             caller.refused(comeBackUs());
             return;
         }
@@ -317,6 +331,9 @@
 
     /** The caller has gone: it is told nothing, and what is out for it is called off. */
     public void gone(Exchange<Q, A> x) {
+        if (!x.answered) {
+            metrics.answers.add(Metrics.Answer.CLIENT_GONE);
+        }
         over(x);
         tellGone(x);
     }
@@ -324,6 +341,7 @@
     /** Whatever the module does, the caller has an answer in time, and a refusal only if that is true. */
     private void timeUp(Exchange<Q, A> x) {
         if (!x.answered) {
+            metrics.answers.add(Metrics.Answer.TIME_UP);
             over(x);
             if (observer != null) {
                 observer.ended(time.now(), new Refusal(x.request.id(), Refusal.Cause.TIME,
@@ -378,6 +396,9 @@
 
     private void attempt(Exchange<Q, A> x, String hostId, long timeoutUs) {
         int number = x.attempts++;
+        if (number > 0) {
+            metrics.retries.add(x.lastOutcome);
+        }
         long sentAt = time.now();
         long left = x.endAt - sentAt;
         boolean vain = x.answered || left <= 0 && !x.reading || timeoutUs < 0 || x.out != null
@@ -440,6 +461,7 @@
         if (x.answered) {
             return false;
         }
+        metrics.answers.add(Metrics.Answer.SERVED);
         over(x);
         x.begun = true;
         x.mayHaveRun = true;
@@ -462,6 +484,7 @@
         if (x.begun) {
             run(() -> forget(x));
         } else if (outcome == Outcome.OK && !x.answered) {
+            metrics.answers.add(Metrics.Answer.SERVED);
             over(x);
             x.caller.served(answer);
             run(() -> forget(x));
@@ -471,6 +494,8 @@
 
     private void ended(Exchange<Q, A> x, int number, long sentAt, Outcome outcome) {
         boolean done = x.answered;
+        x.lastOutcome = outcome;
+        metrics.attempts.add(outcome);
         run(() -> balancer.onAttemptEnded(time.now(),
                 new AttemptEnd(x.request.id(), number, outcome, done, time.now() - sentAt)));
     }
@@ -490,6 +515,8 @@
         work.add(() -> {
             Exchange<Q, A> x = conclude(requestId);
             if (x != null) {
+                metrics.answers.add(x.attempts == 0 ? Metrics.Answer.REFUSED_UNSENT
+                        : Metrics.Answer.REFUSED_AFTER_ATTEMPT);
                 x.caller.refused(retryAfterUs);
             }
         });
@@ -500,6 +527,7 @@
         work.add(() -> {
             Exchange<Q, A> x = conclude(requestId);
             if (x != null) {
+                metrics.answers.add(Metrics.Answer.FAILED);
                 x.caller.failed(false);
             }
         });
--- a/src/main/java/mulleinfront/core/Standing.java
+++ b/src/main/java/mulleinfront/core/Standing.java
@@ -5,35 +5,65 @@
  * I/O; whoever owns it tells it what happened and asks.
  */
 public final class Standing {
+    /** Told when the word for operators changes. */
+    public interface Listener {
+        void changed(String from, String to);
+    }
+
+    private final Listener listener;
+    private String word = "starting";
     /** Written by the owner alone; where a process has several, the one that operators ask reads the others'. */
     private volatile boolean listening;
     private volatile boolean listed;
     private volatile boolean quiesced;
     private volatile boolean ending;
 
+    public Standing() {
+        this((from, to) -> { });
+    }
+
+    /** @param listener told of changes on the thread that makes them */
+    public Standing(Listener listener) {
+        this.listener = listener;
+    }
+
+    private void tell() {
+        String now = word();
+        String before = word;
+        if (!now.equals(before)) {
+            word = now;
+            listener.changed(before, now);
+        }
+    }
+
     /** Clients' connections are taken from now on. */
     public void listening() {
         listening = true;
+        tell();
     }
 
     /** Whether there is a list that names hosts: without one no request can be served. */
     public void listed(boolean any) {
         listed = any;
+        tell();
     }
 
     /** The process was told to end; nothing leads back. */
     public void ending() {
         ending = true;
+        tell();
     }
 
     /** Drains clients away until {@link #resume}; has no effect on what has been taken. */
     public void quiesce() {
         quiesced = true;
+        tell();
     }
 
     /** Takes clients again. */
     public void resume() {
         quiesced = false;
+        tell();
     }
 
     /** Whether clients should come: the answer of {@code /-/ready}. */
--- a/src/main/java/mulleinfront/manage/Calls.java
+++ b/src/main/java/mulleinfront/manage/Calls.java
@@ -19,6 +19,9 @@
         /** Why requests were given up since the start, in one line. */
         String refusals();
 
+        /** What was counted since the start, in one line. */
+        String metrics();
+
         /** Drains clients away; a second call changes nothing. */
         void quiesce();
 
@@ -77,6 +80,9 @@
             case "refusals" -> {
                 return "+OK " + process.refusals();
             }
+            case "metrics" -> {
+                return "+OK " + process.metrics();
+            }
             case "fleet members" -> {
                 String members = process.members();
                 return members == null ? NO_FLEET : "+OK " + members;
@@ -91,7 +97,7 @@
             case "quiesce" -> process.quiesce();
             case "resume" -> process.resume();
             default -> {
-                return "-ERR unknown call; there are health, refusals, quiesce, resume,"
+                return "-ERR unknown call; there are health, refusals, metrics, quiesce, resume,"
                         + " fleet members, fleet watch and fleet leave";
             }
         }
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -35,6 +35,7 @@
 import mulleinfront.Balancer.RequestClass;
 import mulleinfront.Balancer.Source;
 import mulleinfront.core.Core;
+import mulleinfront.core.Metrics;
 import mulleinfront.core.Refusals;
 import mulleinfront.core.Standing;
 import mulleinfront.core.Time;
@@ -69,6 +70,8 @@
     private static final long BIND_AGAIN_MS = 20;
     /** How long a start waits for the agent that pushes lists before it goes by the list of its configuration. */
     private static final long AGENT_WAIT_MS = 1_500;
+    /** Metrics go into the log this often at most, seconds. */
+    private static final long METRICS_S = 10;
     static final Upstream.Answer NO_BODY = new Upstream.Answer(new byte[0], null, null);
 
     private final Config config;
@@ -80,7 +83,10 @@
     private final Frontend frontend;
     private final Core<Call, Upstream.Answer> core;
     private final Map<String, Integer> classes = new HashMap<>();
-    private final Standing standing = new Standing();
+    private final Standing standing;
+    private final Metrics metrics = new Metrics();
+    private final EventLog log;
+    private String loggedMetrics = metrics.words();
     /** A listening socket that the platform handed over, until it is taken up. */
     private ServerSocketChannel inherited;
     private Channel management;
@@ -97,11 +103,13 @@
         this.ownDiscovery = config.discovery();
         this.group = group;
         this.loop = group.next();
+        this.log = new EventLog(config.settings().me());
+        this.standing = new Standing(log::state);
         int half = Math.max(1, (config.sockets() - OWN_SOCKETS) / 2);
         this.upstream = new Upstream(loop, config.dialTimeoutUs(), config.settings().limits().connIdleUs(),
-                half, this::mostIdle);
-        this.core = new Core<>(config.settings(), new LoopTime(), new Sockets(), ClientProxy::defect);
-        this.discovery = new Discovery(config, loop, upstream, new Discovery.Listener() {
+                half, this::mostIdle, metrics.endpointCloses);
+        this.core = new Core<>(config.settings(), new LoopTime(), new Sockets(), ClientProxy::defect, metrics);
+        this.discovery = new Discovery(config, loop, upstream, log, metrics.discovery, new Discovery.Listener() {
             @Override
             public void listed(Source source, List<Endpoint> endpoints) {
                 core.listed(source, endpoints);
@@ -119,7 +127,7 @@
                 askAgain(() -> core.watchLost(quietUs));
             }
         });
-        this.frontend = new Frontend(this, standing, loop, half);
+        this.frontend = new Frontend(this, standing, loop, half, metrics.clientCloses);
         List<RequestClass> all = config.settings().classes();
         for (int i = 0; i < all.size(); i++) {
             classes.put(all.get(i).name(), i);
@@ -398,6 +406,11 @@
             return standing.word();
         }
 
+        @Override
+        public String metrics() {
+            return all.stream().map(p -> p.metrics.words()).collect(Collectors.joining("; "));
+        }
+
         /** Counters of other event loops are read as they are at some moment of late. */
         @Override
         public String refusals() {
@@ -459,6 +472,7 @@
         inherited = handedOver;
         upstream.begin();
         core.begin(maker, config.seed());
+        loop.scheduleWithFixedDelay(this::logMetrics, METRICS_S, METRICS_S, TimeUnit.SECONDS);
         if (config.settings().subscribe()) {
             goByKnown();
         } else {
@@ -470,6 +484,15 @@
         core.perform();
     }
 
+    /** Only what has changed since the last line. */
+    private void logMetrics() {
+        String now = metrics.words();
+        if (!now.equals(loggedMetrics)) {
+            loggedMetrics = now;
+            log.metrics(now);
+        }
+    }
+
     private void goByKnown() {
         if (config.known() != null && !discovery.hasHeard()) {
             discovery.take(config.known(), Source.CACHED);
@@ -497,6 +520,7 @@
      */
     private Future<?> end() {
         loop.execute(() -> {
+            logMetrics();
             frontend.close();
             upstream.close();
             if (membership != null) {
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -34,7 +34,9 @@
 import mulleinfront.Balancer.Availability;
 import mulleinfront.Balancer.Endpoint;
 import mulleinfront.Balancer.Source;
+import mulleinfront.core.EnumCounts;
 import mulleinfront.core.ListOrder;
+import mulleinfront.core.Metrics;
 import mulleinfront.core.Wire;
 import mulleinfront.settings.Config;
 import mulleinfront.settings.Listing;
@@ -78,8 +80,14 @@
     private long version = -1;
     private boolean heardAny;
     private Watch watch;
-
-    Discovery(Config config, EventLoop loop, Upstream upstream, Listener listener) {
+    private final EventLog log;
+    private final EnumCounts<Metrics.Discovery> counts;
+    private long calls;
+
+    Discovery(Config config, EventLoop loop, Upstream upstream, EventLog log,
+            EnumCounts<Metrics.Discovery> counts, Listener listener) {
+        this.log = log;
+        this.counts = counts;
         this.address = config.discovery();
         this.upstream = upstream;
         this.listener = listener;
@@ -149,6 +157,7 @@
         if (watch != null) {
             Watch old = watch;
             watch = null;
+            old.logEnd("given up");
             old.channel.close();
         }
     }
@@ -198,13 +207,17 @@
     /** One call. It fails once, however it ends, unless it was given up for another. */
     private final class Watch extends SimpleChannelInboundHandler<ByteBuf> {
         private Channel channel;
+        private final long call = ++calls;
+        private final long beganNanos = System.nanoTime();
         private final Silence silence;
         private boolean heard;
         /** The newest version that it told of. */
         private long newest = -1;
 
         Watch(long patienceMs) {
-            this.silence = new Silence(patienceMs);
+            this.silence = new Silence(patienceMs, () -> log.callAnswered(call, sinceBeginMs()));
+            log.callBegan(call, address, version);
+            counts.add(Metrics.Discovery.CALL);
         }
 
         ChannelInitializer<SocketChannel> pipeline() {
@@ -233,6 +246,8 @@
                 // A whole list is the latest word of who sends it, but not one that it has overtaken itself.
                 if (!listing.full() || listing.version() >= newest) {
                     newest = Math.max(newest, listing.version());
+                    counts.add(Metrics.Discovery.LIST);
+                    log.listTaken(call, listing.version(), listing.full(), listing.entries().size(), sinceBeginMs());
                     take(listing, listing.full() ? Source.FULL : Source.DELTA);
                 }
             }
@@ -250,14 +265,24 @@
             ctx.close();
         }
 
+        private long sinceBeginMs() {
+            return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos);
+        }
+
+        private void logEnd(Object reason) {
+            log.callEnded(call, reason, silence.answered(), sinceBeginMs(), version);
+        }
+
         /** Says so once for each watch that had worked: calls go on failing while discovery is down. */
         void fail(Throwable cause) {
             if (watch == this) {
                 watch = null;
+                logEnd(cause);
                 if (heard) {
                     System.err.println("mulleinfront: the watch of " + NetUtil.toSocketAddressString(address)
                             + " failed: " + cause);
                 }
+                counts.add(silence.answered() ? Metrics.Discovery.WATCH_LOST : Metrics.Discovery.CALL_FAILED);
                 if (silence.answered()) {
                     listener.lost(silence.quietUs());
                 } else {
@@ -274,11 +299,14 @@
     private static final class Silence extends ChannelInboundHandlerAdapter {
         private final long callMs;
         private ReadTimeoutHandler timer;
+        private final Runnable onAnswer;
         private boolean answered;
         private long heardNanos;
 
-        Silence(long callMs) {
+        /** @param onAnswer run when the first bytes of an answer's body have come */
+        Silence(long callMs, Runnable onAnswer) {
             this.callMs = callMs;
+            this.onAnswer = onAnswer;
         }
 
         /** Whether anything of an answer's body came, a heartbeat too. */
@@ -306,6 +334,7 @@
         void begun(ChannelHandlerContext ctx) {
             if (!answered) {
                 answered = true;
+                onAnswer.run();
                 ctx.pipeline().replace(timer, null, new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
             }
         }
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -39,6 +39,8 @@
 import java.util.concurrent.TimeUnit;
 import mulleinfront.core.Caller;
 import mulleinfront.core.Core;
+import mulleinfront.core.EnumCounts;
+import mulleinfront.core.Metrics.Close;
 import mulleinfront.core.Standing;
 import mulleinfront.manage.Calls;
 import mulleinfront.manage.ManagementServer;
@@ -98,6 +100,7 @@
     private final EventLoop loop;
     private final ChannelGroup clients;
     private final int mostClients;
+    private final EnumCounts<Close> closes;
     /** Connections without an open request, the longest quiet first. */
     private final LinkedHashSet<Client> quiet = new LinkedHashSet<>();
     /** Those on which nothing more is said, until the client has closed as well; the first to part first. */
@@ -109,10 +112,13 @@
     private ClientChannel.Listener server;
     private boolean sweeping;
     private boolean deaf;
+    private boolean shut;
     private long lastReadNanos;
     private long lastAnswerNanos;
 
-    Frontend(ClientProxy proxy, Standing standing, EventLoop loop, int mostClients) {
+    /** @param closes counts why connections are closed */
+    Frontend(ClientProxy proxy, Standing standing, EventLoop loop, int mostClients, EnumCounts<Close> closes) {
+        this.closes = closes;
         this.mostClients = mostClients;
         this.proxy = proxy;
         this.standing = standing;
@@ -201,7 +207,7 @@
         if (clients.size() >= mostClients && !spare.isEmpty()) {
             Client longest = spare.iterator().next();
             spare.remove(longest);
-            longest.channel.close();
+            longest.close(Close.NO_ROOM);
         }
         clients.add(ch);
         client.hush();
@@ -225,7 +231,7 @@
         long longAgo = now - TimeUnit.MILLISECONDS.toNanos(deaf ? LAST_LINGER_MS : LINGER_MS);
         for (Client c; !parting.isEmpty() && (c = parting.iterator().next()).quietAt - longAgo < 0;) {
             parting.remove(c);
-            c.channel.close();
+            c.close(Close.NOT_REUSABLE);
         }
     }
 
@@ -264,6 +270,7 @@
 
     /** Closes at once, the listener and all that it accepted. */
     void close() {
+        shut = true;
         if (server != null) {
             server.close();
         }
@@ -296,6 +303,7 @@
         private boolean pumping;
         private boolean keepAlive;
         private boolean old;
+        private boolean closed;
         /** When the connection last made progress: an answer was given or a byte of a request read. */
         private long quietAt;
         /** When the first byte of the request being read came; 0 if nothing of one has. */
@@ -511,7 +519,7 @@
             } else if (download != null && still > LATE_STALLED_MS && proxy.now() > downloadDue) {
                 cutOff();
             } else if (still > STALLED_MS) {
-                channel.close();
+                close(Close.STALLED);
             }
         }
 
@@ -612,7 +620,7 @@
                 return true;
             }
             exchange = null;
-            channel.close();
+            close(Close.BY_PEER);
             return false;
         }
 
@@ -672,7 +680,7 @@
             if (channel.isOpen()) {
                 ((SocketChannel) channel).config().setSoLinger(0);
             }
-            channel.close();
+            close(Close.STALLED);
         }
 
         @Override
@@ -754,7 +762,7 @@
                 channel.config().setAutoRead(true);
                 ((SocketChannel) channel).shutdownOutput().addListener(shut -> {
                     if (!shut.isSuccess()) {
-                        channel.close();
+                        close(Close.BY_PEER);
                     }
                 });
                 acceptIfRoom(channel);
@@ -782,6 +790,14 @@
             return head.append(lines).append(last ? "connection: close\r\n\r\n" : "\r\n").toString();
         }
 
+        private void close(Close why) {
+            if (!closed) {
+                closed = true;
+                closes.add(why);
+            }
+            channel.close();
+        }
+
         /** From here on the connection is quiet: also one whose client does not read its answer. */
         private void hush() {
             if (channel.isActive()) {
@@ -811,7 +827,7 @@
                 keepAlive = false;
                 answer(HttpResponseStatus.REQUEST_TIMEOUT);
             } else if (busy) {
-                channel.close();
+                close(Close.STALLED);
             } else {
                 part();
             }
@@ -828,6 +844,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            close(shut ? Close.SHUTDOWN : Close.BY_PEER);
             quiet.remove(this);
             parting.remove(this);
             ahead.clear();
@@ -849,7 +866,7 @@
         /** Whatever went wrong costs this connection; what was open on it is the client's to retry. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
+            close(Close.ERROR);
         }
     }
 }
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -38,6 +38,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
 import mulleinfront.Balancer.Outcome;
+import mulleinfront.core.EnumCounts;
+import mulleinfront.core.Metrics.Close;
 import mulleinfront.core.Wire;
 import mulleinfront.settings.LoadReport;
 
@@ -79,6 +81,7 @@
     private long idleNanos;
     private final int mostConnections;
     private final IntSupplier mostIdle;
+    private final EnumCounts<Close> closes;
     /** Idle connections to all hosts, the longest idle first. */
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
     /** All that are not closed, also while they come up. */
@@ -90,9 +93,12 @@
     /**
      * @param mostConnections connections to hold at most, also while all are in use
      * @param mostIdle idle connections to keep at most
+     * @param closes counts why connections are closed
      */
-    Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int mostConnections, IntSupplier mostIdle) {
+    Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int mostConnections, IntSupplier mostIdle,
+            EnumCounts<Close> closes) {
         this.loop = loop;
+        this.closes = closes;
         this.mostIdle = mostIdle;
         this.mostConnections = mostConnections;
         this.mostIdleNanos = (long) (connIdleUs * 1000 * Wire.IDLE_PART);
@@ -109,7 +115,7 @@
         loop.scheduleWithFixedDelay(() -> {
             long before = System.nanoTime() - idleNanos;
             for (Connection c; !idle.isEmpty() && (c = idle.iterator().next()).idleAt - before < 0;) {
-                c.close();
+                c.close(Close.IDLE);
             }
         }, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
@@ -117,7 +123,7 @@
     /** Closes all connections, for good: attempts that are out end, and others can't connect. */
     void close() {
         closed = true;
-        List.copyOf(open).forEach(c -> c.channel.close());
+        List.copyOf(open).forEach(c -> c.close(Close.SHUTDOWN));
     }
 
     /** A host as last listed; all fields are discovery's to set. */
@@ -160,7 +166,7 @@
     /** Closes the idle connections to a host; those in use close after their answer. */
     void hangUp(Host host) {
         for (Connection c; (c = host.idle.isEmpty() ? host.resting.peek() : host.idle.peek()) != null;) {
-            c.close();
+            c.close(Close.ENDPOINT_LEFT);
         }
     }
 
@@ -175,7 +181,7 @@
                 c.leaveIdle();
                 return c;
             }
-            c.close();
+            c.close(now - c.idleAt <= idleNanos ? Close.BY_PEER : Close.IDLE);
         }
         return null;
     }
@@ -244,7 +250,7 @@
                 return;
             }
             if (open.size() >= mostConnections && !idle.isEmpty()) {
-                idle.iterator().next().close();
+                idle.iterator().next().close(Close.NO_ROOM);
             }
             Connection made;
             try {
@@ -390,7 +396,7 @@
             if (connection != null) {
                 connection.current = null;
                 connection.cut();
-                connection.close();
+                connection.close(Close.ATTEMPT_ENDED);
                 connection = null;
                 written = null;
             } else if (connecting != null) {
@@ -432,6 +438,7 @@
         private final ByteBuf body = BUFFERS.buffer();
         private Attempt current;
         private long idleAt;
+        private boolean closed;
         private HttpResponse head;
         private int interim;
         private boolean reusable = true;
@@ -484,8 +491,12 @@
             }
         }
 
-        void close() {
+        void close(Close why) {
             leaveIdle();
+            if (!closed) {
+                closed = true;
+                closes.add(why);
+            }
             channel.close();
         }
 
@@ -654,10 +665,11 @@
                 host.resting.add(this);
                 idle.add(this);
                 if (idle.size() > mostIdle.getAsInt()) {
-                    idle.iterator().next().close();
+                    idle.iterator().next().close(Close.NO_ROOM);
                 }
             } else {
-                channel.close();
+                close(!host.ready || !leadsToHost() ? Close.ENDPOINT_LEFT : channel.isActive() ? Close.NOT_REUSABLE
+                        : Close.BY_PEER);
             }
             if (ended != null) {
                 if (ended.idleFor > 0) {
@@ -674,7 +686,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            leaveIdle();
+            close(Close.BY_PEER);
             if (outcome != null) {
                 deliver();
             } else if (current != null) {
@@ -688,7 +700,7 @@
             if (current != null && outcome == null) {
                 current.broken();
             }
-            close();
+            close(Close.ERROR);
         }
     }
 }
