--- a/src/main/java/mulleinfront/emulator/Auditor.java
+++ b/src/main/java/mulleinfront/emulator/Auditor.java
@@ -25,14 +25,13 @@
 public final class Auditor {
     /** Breaches that are kept with their stories; all are counted. */
     private static final int MOST_KEPT = 100;
-    /** A call to discovery that failed binds for this many times as long. */
-    private static final int AFTER_FAILURE = 4;
 
     private final Scenario scenario;
     private final Map<String, Taken> requests = new HashMap<>();
     /** By the time after which nothing more can be said of them. */
     private final ArrayDeque<Taken> oldest = new ArrayDeque<>();
     private final Map<Integer, Told> proxies = new HashMap<>();
+    private final ToldDeadlines deadlines;
     private final Set<Integer> standing = new HashSet<>();
     private final Map<String, Place> places = new HashMap<>();
     private final Map<String, Cold> cold = new HashMap<>();
@@ -123,12 +122,9 @@
         long startedAt;
     }
 
-    /** What one process of a client proxy was told, and when it asked. */
+    /** What one process of a client proxy was told. */
     private static final class Told {
         final Map<String, Heard> servers = new HashMap<>();
-        boolean watching;
-        boolean failed;
-        long askedAt;
     }
 
     /** A server that started during the day. */
@@ -148,6 +144,7 @@
 
     Auditor(Scenario scenario) {
         this.scenario = scenario;
+        this.deadlines = new ToldDeadlines(scenario.rules().askWithinUs());
     }
 
     /** The broken rules, the first hundred of them in the order in which they were seen. */
@@ -336,9 +333,8 @@
     // ---- lists ---------------------------------------------------------------------------------------
 
     void proxyStarted(int proxy, long now) {
-        Told told = new Told();
-        told.askedAt = now;
-        proxies.put(proxy, told);
+        proxies.put(proxy, new Told());
+        deadlines.started(proxy, now);
     }
 
     /** Killed outright: what it held is its clients' to retry. */
@@ -351,7 +347,8 @@
     }
 
     /** It stands still, or goes on: what is open meanwhile can't be answered in time by anybody. */
-    void stands(int proxy, boolean still) {
+    void stands(int proxy, boolean still, long now) {
+        deadlines.reaches(proxy, !still, now);
         if (still ? standing.add(proxy) : standing.remove(proxy)) {
             requests.values().stream().filter(t -> t.proxy == proxy && !t.ended).forEach(t -> t.excused = true);
         }
@@ -373,21 +370,21 @@
     }
 
     void asked(int proxy, long now) {
-        proxies.get(proxy).askedAt = now;
+        deadlines.called(proxy, now);
     }
 
-    void watching(int proxy, long now) {
-        Told told = proxies.get(proxy);
-        told.watching = true;
-        told.failed = false;
-        told.askedAt = now;
+    void watching(int proxy) {
+        deadlines.watching(proxy);
     }
 
-    void watchFailed(int proxy, long now) {
-        Told told = proxies.get(proxy);
-        told.watching = false;
-        told.failed = true;
-        told.askedAt = now;
+    /** A watch has ended, or a call before it became one. */
+    void watchFailed(int proxy, long now, boolean overloaded) {
+        deadlines.ended(proxy, now, overloaded);
+    }
+
+    /** When changes count as told to who has not been told them. */
+    ToldDeadlines deadlines() {
+        return deadlines;
     }
 
     void told(int proxy, long version, Source source, List<Registry.Entry> entries, long now) {
@@ -439,12 +436,12 @@
             return;
         }
         Long listed = drainListedAt.get(host);
-        if (scenario.discovery().asked() && listed != null && !told.watching) {
-            long bound = scenario.rules().askWithinUs() * (told.failed ? AFTER_FAILURE : 1);
-            long toldAt = Math.max(listed, told.askedAt) + bound;
-            if (now > toldAt + grace) {
-                breach(Rule.DRAINS, now, proxy, id, "sent to " + host + ", which counts as told to be gone:"
-                        + " discovery was not asked for " + (now - told.askedAt) + " us");
+        if (scenario.discovery().asked() && listed != null) {
+            long toldAt = deadlines.toldAt(proxy, listed);
+            if (toldAt < now - grace) {
+                breach(Rule.DRAINS, now, proxy, id, "sent to " + host + " " + (now - toldAt) + " us after it counts as"
+                        + " told to be gone: discovery has it for " + (now - listed) + " us, and was last asked "
+                        + (now - deadlines.calledAt(proxy)) + " us ago");
             }
         }
     }
--- a/src/main/java/mulleinfront/emulator/DiscoveryClient.java
+++ b/src/main/java/mulleinfront/emulator/DiscoveryClient.java
@@ -61,6 +61,15 @@
         }
     }
 
+    /** Discovery is elsewhere from now on, and is asked there at once. */
+    void move() {
+        if (watch != null) {
+            stop();
+            world.audit.watchFailed(proxy, time.now(), false);
+        }
+        watch();
+    }
+
     /** Takes over a list, first for the wire and then for the module. */
     void take(Registry.News news, Source source) {
         world.audit.told(proxy, news.version(), source, news.entries(), time.now());
@@ -138,7 +147,7 @@
         void hear(Registry.News news) {
             if (!over && watch == this) {
                 take(news, news.full() ? Source.FULL : Source.DELTA);
-                world.audit.watching(proxy, time.now());
+                world.audit.watching(proxy);
             }
         }
 
@@ -149,6 +158,11 @@
             }
         }
 
+        @Override
+        void cutShort(Registry.News news) {
+            fail();
+        }
+
         @Override
         void fail() {
             if (over || watch != this) {
@@ -157,7 +171,7 @@
             end();
             watch = null;
             world.registry.leave(this);
-            world.audit.watchFailed(proxy, time.now());
+            world.audit.watchFailed(proxy, time.now(), overloaded);
             if (!world.scenario.discovery().asked()) {
                 time.after(Wire.AGENT_AGAIN_US, DiscoveryClient.this::watch);
             } else if (heard) {
--- a/src/main/java/mulleinfront/emulator/FaultReader.java
+++ b/src/main/java/mulleinfront/emulator/FaultReader.java
@@ -72,6 +72,8 @@
             case DISCOVERY_LATE -> on = s.times("by", null);
             case DISCOVERY_SHUFFLE -> factor = s.count("lists", 5, 2);
             case DISCOVERY_CROWD -> factor = s.rate("calls", null);
+            case DISCOVERY_REFUSES, DISCOVERY_CUTS, DISCOVERY_ENDS -> factor = s.count("of-each", 1, 1);
+            case RELOAD_PROXY -> on = s.times("within", NONE);
             case SURGE -> factor = s.number("factor", null, 0);
             case KILL_PROXY, END_PROXY -> {
                 on = s.times("within", NONE);
@@ -207,14 +209,15 @@
 
     private static boolean lasts(Kind kind) {
         return switch (kind) {
-            case PAUSE, DRAIN, RESTART, KILL_PROXY, END_PROXY, PAUSE_PROXY, CLOCK, BURST -> false;
+            case PAUSE, DRAIN, RESTART, KILL_PROXY, END_PROXY, PAUSE_PROXY, RELOAD_PROXY, CLOCK, BURST, DISCOVERY_REFUSES,
+                    DISCOVERY_CUTS, DISCOVERY_ENDS -> false;
             default -> true;
         };
     }
 
     private static boolean aimsAtProxies(Kind kind) {
         return switch (kind) {
-            case KILL_PROXY, END_PROXY, PAUSE_PROXY, CUT_PROXY, CLOCK -> true;
+            case KILL_PROXY, END_PROXY, PAUSE_PROXY, RELOAD_PROXY, CUT_PROXY, CLOCK -> true;
             default -> false;
         };
     }
--- a/src/main/java/mulleinfront/emulator/Instance.java
+++ b/src/main/java/mulleinfront/emulator/Instance.java
@@ -28,6 +28,9 @@
     /** SIGTERM. */
     abstract void end();
 
+    /** SIGHUP, with a configuration in which discovery is elsewhere. */
+    abstract void reload();
+
     /** A try's last byte has come. */
     abstract void take(Clients.Try t);
 
--- a/src/main/java/mulleinfront/emulator/Proxy.java
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -98,7 +98,7 @@
         }
         Life stopped = life;
         stopped.still = true;
-        world.audit.stands(number, true);
+        world.audit.stands(number, true, world.queue.now());
         if (world.fleet != null) {
             world.fleet.stop(number);
         }
@@ -109,7 +109,7 @@
                     world.fleet.go(number);
                 }
             }
-            world.audit.stands(number, false);
+            world.audit.stands(number, false, world.queue.now());
         });
     }
 
@@ -140,6 +140,15 @@
         });
     }
 
+    /** The address of discovery is no part of this world: what is left of a move is that it is asked anew. */
+    @Override
+    void reload() {
+        if (life != null && !life.ending && world.scenario.discovery().asked()) {
+            Life reloads = life;
+            reloads.reads(reloads.discovery::move);
+        }
+    }
+
     /** A try's last byte has come; whoever sent it hears how it ended, or nothing if that process dies. */
     @Override
     void take(Clients.Try t) {
--- a/src/main/java/mulleinfront/emulator/Registry.java
+++ b/src/main/java/mulleinfront/emulator/Registry.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -43,6 +44,10 @@
     private boolean silent;
     /** Client proxies that are cut off from it, each for itself. */
     private final Set<Integer> cut = new HashSet<>();
+    /** Calls that are still to be refused, lists to be cut short, and watches to end instead of telling. */
+    private final Map<Integer, Integer> refusals = new HashMap<>();
+    private final Map<Integer, Integer> cutShort = new HashMap<>();
+    private final Map<Integer, Integer> endings = new HashMap<>();
     private Range late = Range.of(0);
     private int shuffle;
     private final List<Runnable> shuffled = new ArrayList<>();
@@ -128,9 +133,19 @@
         if (down || silent || cut.contains(w.proxy()) || from >= version() && from >= 0) {
             return;
         }
+        if (due(endings, w.proxy())) {
+            watches.remove(w);
+            world.queue.after(world.network.delay(w.zone(), 0), w::fail);
+            return;
+        }
         News news = from < 0 || version() - from > 2L * present.size() + 16
                 ? whole() : new News(version(), false, List.copyOf(log.subList((int) from, log.size())));
         w.toldTo = version();
+        if (due(cutShort, w.proxy())) {
+            watches.remove(w);
+            world.queue.after(way(w), () -> w.cutShort(news));
+            return;
+        }
         Runnable delivery = () -> w.hear(news);
         if (shuffle > 0) {
             shuffled.add(delivery);
@@ -176,7 +191,7 @@
     void call(Watcher w) {
         calls++;
         long now = world.queue.now();
-        if (down) {
+        if (down || due(refusals, w.proxy())) {
             failedCalls++;
             world.queue.after(world.network.delay(w.zone(), 0), w::fail);
             return;
@@ -189,6 +204,7 @@
         busyUntil = Math.max(busyUntil, now);
         if (busyUntil - now > spec.timeoutUs()) {
             failedCalls++;
+            w.overloaded = true;
             world.queue.after(world.network.delay(w.zone(), 0), w::fail);
             return;
         }
@@ -196,6 +212,7 @@
         busyUntil += cost;
         if (busyUntil - now > spec.timeoutUs()) {
             failedCalls++;
+            w.overloaded = true;
             world.queue.after(spec.timeoutUs(), w::fail);
             return;
         }
@@ -219,9 +236,40 @@
         watches.remove(w);
     }
 
+    /** Whether there is one left for a client proxy; takes it. */
+    private static boolean due(Map<Integer, Integer> left, int proxy) {
+        int n = left.getOrDefault(proxy, 0);
+        if (n > 0) {
+            left.put(proxy, n - 1);
+        }
+        return n > 0;
+    }
+
+    private void setForAll(Map<Integer, Integer> left, int each) {
+        for (int i = 0; i < world.scenario.proxies().count(); i++) {
+            left.put(i, each);
+        }
+    }
+
+    /** The next so many calls of each client proxy are refused at once. */
+    void refuseCalls(int each) {
+        setForAll(refusals, each);
+    }
+
+    /** The next so many lists to each client proxy break off before their end, and the watch with them. */
+    void cutLists(int each) {
+        setForAll(cutShort, each);
+    }
+
+    /** The next so many times that there is something to tell to a client proxy its watch ends instead. */
+    void endInsteadOfTelling(int each) {
+        setForAll(endings, each);
+    }
+
     /** Down: watches end, calls fail. */
     void down(boolean on) {
         down = on;
+        world.audit.deadlines().reachable(!down && !silent, world.queue.now());
         if (on) {
             watchesEnd();
         }
@@ -244,13 +292,16 @@
     /** Silent: what is open stays open and says nothing, not even that it is there. */
     void silent(boolean on) {
         silent = on;
+        world.audit.deadlines().reachable(!down && !silent, world.queue.now());
         List.copyOf(watches).forEach(w -> silent(w, on));
     }
 
     private void silent(Watcher w, boolean on) {
         if (on) {
+            world.audit.deadlines().silent(w.proxy(), world.queue.now());
             w.silence((long) (HEARTBEAT_US * chance.unit()));
         } else {
+            world.audit.watching(w.proxy());
             w.begin();
             tell(w);
         }
@@ -259,6 +310,7 @@
     /** The same for one client proxy alone: what it calls is not answered. */
     void cut(int proxy, boolean on) {
         if (on ? cut.add(proxy) : cut.remove(proxy)) {
+            world.audit.deadlines().reaches(proxy, !on, world.queue.now());
             watches.stream().filter(w -> w.proxy() == proxy).toList().forEach(w -> silent(w, on));
         }
     }
--- a/src/main/java/mulleinfront/emulator/Script.java
+++ b/src/main/java/mulleinfront/emulator/Script.java
@@ -48,10 +48,14 @@
             case DISCOVERY_SHUFFLE ->
                     both(f, () -> world.registry.shuffle((int) f.factor()), () -> world.registry.shuffle(0));
             case DISCOVERY_CROWD -> both(f, () -> world.registry.crowd(f.factor()), () -> world.registry.crowd(0));
+            case DISCOVERY_REFUSES -> world.registry.refuseCalls((int) f.factor());
+            case DISCOVERY_CUTS -> world.registry.cutLists((int) f.factor());
+            case DISCOVERY_ENDS -> world.registry.endInsteadOfTelling((int) f.factor());
             case WATCHES_SILENT -> world.registry.watchesFallSilent();
             case WATCHES_RESET -> world.registry.watchesEnd();
             case KILL_PROXY -> proxies(f).forEach(p -> within(f, () -> p.kill(f.drainUs())));
             case END_PROXY -> proxies(f).forEach(p -> within(f, p::end));
+            case RELOAD_PROXY -> proxies(f).forEach(p -> within(f, p::reload));
             case ROLL_PROXIES -> roll(f);
             case PAUSE_PROXY -> proxies(f).forEach(p -> p.pause(f.forUs()));
             case CUT_PROXY -> cutProxies(f);
--- a/src/main/java/mulleinfront/emulator/Stage.java
+++ b/src/main/java/mulleinfront/emulator/Stage.java
@@ -43,6 +43,9 @@
         /** SIGTERM, and a start when it has ended. */
         void end(int proxy);
 
+        /** SIGHUP, with a configuration that names another address of discovery. */
+        void reload(int proxy);
+
         /** Whether clients send to this client proxy: they begin when it has said that it is ready. */
         boolean running(int proxy);
 
@@ -182,9 +185,9 @@
 
             @Override
             void pause(long us) {
-                world.audit.stands(number, true);
+                world.audit.stands(number, true, world.queue.now());
                 outside.pause(number, us);
-                world.queue.after(us, () -> world.audit.stands(number, false));
+                world.queue.after(us, () -> world.audit.stands(number, false, world.queue.now()));
             }
 
             @Override
@@ -192,6 +195,11 @@
                 outside.end(number);
             }
 
+            @Override
+            void reload() {
+                outside.reload(number);
+            }
+
             @Override
             void take(Clients.Try t) {
                 tries.put(t.call.id(), new Sent(t, number));
@@ -496,6 +504,9 @@
         /** Heartbeats stop, or go on. */
         void silent(boolean on);
 
+        /** A list breaks off in its midst, and the connection with it. */
+        void cutShort(Told news);
+
         /** The call or the watch has failed. */
         void fail();
     }
@@ -549,7 +560,7 @@
                 lines.told(Stage.told(news));
                 world.audit.told(proxy, news.version(), news.full() ? Source.FULL : Source.DELTA, news.entries(),
                         world.queue.now());
-                world.audit.watching(proxy, world.queue.now());
+                world.audit.watching(proxy);
             }
         }
 
@@ -561,12 +572,20 @@
             }
         }
 
+        @Override
+        void cutShort(Registry.News news) {
+            if (!over) {
+                lines.cutShort(Stage.told(news));
+                closed();
+            }
+        }
+
         /** Its connection has ended. */
         public void closed() {
             if (!over) {
                 over = true;
                 world.registry.leave(this);
-                world.audit.watchFailed(proxy, world.queue.now());
+                world.audit.watchFailed(proxy, world.queue.now(), overloaded);
             }
         }
     }
--- a/src/main/java/mulleinfront/emulator/Watcher.java
+++ b/src/main/java/mulleinfront/emulator/Watcher.java
@@ -22,4 +22,10 @@
     abstract void hear(Registry.News news);
 
     abstract void fail();
+
+    /** A list breaks off before its end, and what carries it with it. */
+    abstract void cutShort(Registry.News news);
+
+    /** Discovery gave the call up because too many waited. */
+    boolean overloaded;
 }
--- a/src/main/java/mulleinfront/kit/DaemonProcess.java
+++ b/src/main/java/mulleinfront/kit/DaemonProcess.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
@@ -35,6 +36,7 @@
     private final Process process;
     private final InetSocketAddress address;
     private final Path log;
+    private final Path file;
     private volatile boolean told;
     private volatile boolean killed;
 
@@ -52,7 +54,7 @@
             throws IOException {
         this.number = number;
         this.address = address;
-        Path file = Files.writeString(folder.resolve("daemon-" + number + ".json"), config);
+        this.file = Files.writeString(folder.resolve("daemon-" + number + ".json"), config);
         this.log = folder.resolve("daemon-" + number + ".log");
         String guarded = "trap '' INT; exec 3<&0; (cat <&3 >/dev/null; kill -9 $$ 2>/dev/null) & ulimit -n " + SOCKETS
                 + "; exec 3<&- </dev/null; " + command;
@@ -110,6 +112,14 @@
         process.destroyForcibly();
     }
 
+    /** Another configuration, and SIGHUP, on its way when this returns. */
+    void reload(String config) throws IOException {
+        // In one step: it may be reading the file for the configuration before.
+        Path next = Files.writeString(file.resolveSibling(file.getFileName() + ".next"), config);
+        Files.move(next, file, StandardCopyOption.ATOMIC_MOVE);
+        new ProcessBuilder("kill", "-HUP", "" + process.pid()).start();
+    }
+
     /** SIGSTOP or SIGCONT, on its way when this returns. */
     void stands(boolean still) throws IOException {
         new ProcessBuilder("kill", still ? "-STOP" : "-CONT", "" + process.pid()).start();
--- a/src/main/java/mulleinfront/kit/Places.java
+++ b/src/main/java/mulleinfront/kit/Places.java
@@ -56,6 +56,11 @@
         return at(proxy, 0, 1);
     }
 
+    /** Where discovery is after a move, and from where it moves back. */
+    InetSocketAddress secondDiscovery(int proxy) {
+        return at(proxy, 0, 4);
+    }
+
     InetSocketAddress daemon(int proxy) {
         return at(proxy, 0, 2);
     }
--- a/src/main/java/mulleinfront/kit/RealRun.java
+++ b/src/main/java/mulleinfront/kit/RealRun.java
@@ -70,6 +70,8 @@
     private final DaemonProcess[] daemons;
     /** Whether clients send to it; on the event loop. */
     private final boolean[] up;
+    /** Whether its discovery is at the second address; on the event loop. */
+    private final boolean[] moved;
     /** How long one that was killed stays away; on the event loop. */
     private final long[] away;
     private final List<String> failures = Collections.synchronizedList(new ArrayList<>());
@@ -104,6 +106,7 @@
         this.daemons = new DaemonProcess[scenario.proxies().count()];
         this.up = new boolean[daemons.length];
         this.away = new long[daemons.length];
+        this.moved = new boolean[daemons.length];
         this.stage = new Stage(scenario, seed, SLACK_US, this);
         this.clock = new WorldClock(group.next(), stage);
         this.servers = new StandInServers(clock, stage, places, daemons.length);
@@ -271,7 +274,8 @@
         List<ChannelFuture> bound = new ArrayList<>();
         onLoop(() -> {
             for (int i = 0; i < daemons.length; i++) {
-                bound.add(discovery.listen(i));
+                bound.add(discovery.listen(i, places.discovery(i)));
+                bound.add(discovery.listen(i, places.secondDiscovery(i)));
             }
             for (int a = 0; a < scenario.fleet(); a++) {
                 servers.changed(a);
@@ -386,15 +390,18 @@
 
     private void launch(int proxy, Stage.Told known) throws IOException {
         known.servers().forEach(s -> servers.changed(s.address()));
-        DaemonProcess d = new DaemonProcess(proxy, command, root, folder, DaemonProcess.config(scenario, proxy,
-                seed * 1_000_003 + proxy, places.daemon(proxy), places.discovery(proxy),
-                discovery.line(proxy, known), relay == null ? null : new DaemonProcess.Peering(
-                places.peerListen(proxy), IntStream.range(0, daemons.length).mapToObj(other ->
-                places.peer(proxy, other)).toList(), fleetFile)), places.daemon(proxy));
+        DaemonProcess d = new DaemonProcess(proxy, command, root, folder, config(proxy, known), places.daemon(proxy));
         daemons[proxy] = d;
         d.onExit(code -> clock.loop.execute(() -> exited(d, code)));
     }
 
+    private String config(int proxy, Stage.Told known) throws IOException {
+        return DaemonProcess.config(scenario, proxy, seed * 1_000_003 + proxy, places.daemon(proxy),
+                moved[proxy] ? places.secondDiscovery(proxy) : places.discovery(proxy), discovery.line(proxy, known),
+                relay == null ? null : new DaemonProcess.Peering(places.peerListen(proxy),
+                IntStream.range(0, daemons.length).mapToObj(other -> places.peer(proxy, other)).toList(), fleetFile));
+    }
+
     private void exited(DaemonProcess d, int code) {
         // Before the world begins the one who waits for it to be ready says so.
         if (ending || !playing || daemons[d.number()] != d) {
@@ -499,6 +506,18 @@
         }, scenario.proxies().killAfterUs(), TimeUnit.MICROSECONDS);
     }
 
+    @Override
+    public void reload(int proxy) {
+        try {
+            if (up[proxy]) {
+                moved[proxy] = !moved[proxy];
+                daemons[proxy].reload(config(proxy, new Stage.Told(0, true, List.of())));
+            }
+        } catch (IOException e) {
+            failures.add("client proxy " + proxy + " could not be told of its configuration: " + e.getMessage());
+        }
+    }
+
     @Override
     public void send(Stage.Outgoing request) {
         clients.send(request);
--- a/src/main/java/mulleinfront/kit/StandInDiscovery.java
+++ b/src/main/java/mulleinfront/kit/StandInDiscovery.java
@@ -20,6 +20,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -46,15 +47,20 @@
         this.scenario = scenario;
     }
 
-    /** Listens for one client proxy; the future tells whether it could. */
-    ChannelFuture listen(int proxy) {
+    /**
+     * Listens for one client proxy.
+     *
+     * @param address one of its addresses of discovery
+     * @return tells whether it could
+     */
+    ChannelFuture listen(int proxy, InetSocketAddress address) {
         ChannelFuture bound = new ServerBootstrap().group(clock.loop).channel(NioServerSocketChannel.class)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
                         ch.pipeline().addLast(new HttpRequestDecoder(), new HttpObjectAggregator(8192), new Call(proxy));
                     }
-                }).bind(places.discovery(proxy));
+                }).bind(address);
         listeners.add(bound.channel());
         return bound;
     }
@@ -150,6 +156,13 @@
             ctx.writeAndFlush(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
         }
 
+        @Override
+        public void cutShort(Stage.Told news) {
+            String text = line(proxy, news);
+            write(Integer.toHexString(text.length()) + "\r\n" + text.substring(0, text.length() / 2));
+            ctx.close();
+        }
+
         @Override
         public void silent(boolean on) {
             silent = on;
