A list's deadline belongs to the instance and goes by the settings' askWithinUs

Change: ListDeadline computes from the settings when an instance has to have called and to hold its list, whatever became of calls; CallSchedule spreads calls within it (half of what is left, six tenths of the time for asking, up to four times as dense as discovery bears). Also of the class: pushed lists are asked for at once after a break (was 0.5 s, beyond the grace of 0.25 s); a move keeps the old watch and waits half the time for asking at most; a list that stalls fails after 1.5 s, an answer without one after 4.5 s; silence after 2.75 s; a call's patience goes by what discovery takes. Passing the deadline is logged and counted. Judge: attempts are told in order (a false 'attempt 1 while 2 is out' was seen twice on the code before).

--- a/src/main/java/mulleinfront/Balancer.java
+++ b/src/main/java/mulleinfront/Balancer.java
@@ -39,6 +39,11 @@
         onDiscoveryFailed(now);
     }
 
+    /** A call failed because discovery could not be reached: nobody was there, or it never came up. */
+    default void onDiscoveryUnreachable(long now) {
+        onDiscoveryFailed(now);
+    }
+
     /** A request arrived; it must get one final answer within its budget. */
     void onRequest(long now, Request request);
 
@@ -97,6 +102,18 @@
         /** Asks discovery for the list and for every change from here on. */
         void subscribe();
 
+        /**
+         * The same with a bound.
+         *
+         * @param patienceUs how long the call may go unanswered, microseconds: then it has failed
+         */
+        default void subscribe(long patienceUs) {
+            subscribe();
+        }
+
+        /** The list that is held had to be renewed by now, and was not: changes may count as told that are not known. */
+        default void listOverdue() { }
+
         /** Asks for {@link Balancer#onTimer} at this time or soon after. */
         void wakeAt(long atUs);
     }
@@ -262,6 +279,12 @@
                     limits, contract, number);
         }
 
+        /** The same with another time for asking, microseconds. */
+        Settings asking(long askWithinUs) {
+            return new Settings(classes, tenantShares, overShareWorth, instances, probePrice, subscribe, weightsVary,
+                    limits, new Contract(askWithinUs, contract.coldFrom(), contract.coldUs(), contract.overload()), me);
+        }
+
         static void need(boolean ok, String otherwise) {
             if (!ok) {
                 throw new IllegalArgumentException("settings: " + otherwise);
--- a/src/main/java/mulleinfront/CallSchedule.java
+++ b/src/main/java/mulleinfront/CallSchedule.java
@@ -3,62 +3,83 @@
 import java.util.SplittableRandom;
 
 /**
- * When an instance calls discovery. What discovery has to tell counts as told 6 s after it had it and could
- * be reached, whatever became of the calls before; and it works through calls in turn, so that a call it
- * gives up has cost it as much as an answer: once more wait than it answers within its patience none is
- * answered in time, and their repeats keep it so.
+ * When an instance calls discovery. Two things are kept: the instance's own {@link ListDeadline}, whatever has become of
+ * its calls; and what discovery bears from all together, which works through calls in turn, so that a call it gives up
+ * has cost it as much as an answer.
  *
- * <p>Both are kept by time slots (time-division multiple access): in each {@link #PERIOD_US} every instance
- * has one place of its own, by its number among all, on the clock that all machines read. One whose watch is
- * lost calls in its place, so
+ * <p>Calls go by time slots (time-division multiple access): in each window every instance has one place of its own, by
+ * its number among all, so that calls of all that fail at one moment come evenly. The window is
  *
  * <ul>
- * <li>a call begins at most one period after discovery could be reached, be it after a refusal, a reset or a
- * call that nobody answered; of a watch that fell silent, at most one period after the last that was heard;
- * <li>calls of all that fail at one moment come evenly, however many they are: discovery that answers one
- * call of each within 3 s has next to no queue to work off.
+ * <li>as long as the calls of all take, if each takes what an answer of late did, up to {@link #PERIOD_US}: a call made
+ * sooner would wait in discovery's queue for as long;
+ * <li>or longer after failed calls in a row;
+ * <li>but never over half of what the deadline leaves: another call has to fit in if this one fails;
+ * <li>and never longer than the settings' time for asking allows, whatever discovery bears: that time is stated.
  * </ul>
  *
- * <p>So the bound is 4 s and the call. A call that fails after a wait says that discovery is down, or bears
- * less than is asked of it: then calls come at random within the period, since in turn each would meet the
- * same full queue.
+ * <p>Where the deadline and what discovery bears cannot both be kept, calls come up to {@link #MOST_CROWDING} times as
+ * densely as it bears, which its queue takes for a moment; beyond that, and once the deadline has passed, the deadline
+ * gives way, since denser calls would only wait longer. A call that fails after a wait says that discovery is down, or
+ * bears less than is asked of it: then calls come at random, since in turn each would meet the same full queue.
  *
  * <p>Where an instance is not told its number it draws its place.
  */
 final class CallSchedule {
-    /**
-     * Time in which each instance has one place for a call, microseconds: leaves 2 s of the 6 for the call.
-     */
+    /** Longest window, microseconds: leaves 2 s of the deadline for the call. */
     static final long PERIOD_US = 4_000_000;
     /** Longest wait at the start of one that holds no list: it can serve nobody until then, microseconds. */
     static final long EMPTY_US = 2_000_000;
     /** Calls a second at the start by all instances together, where they are many. */
     private static final double STARTS_PER_S = 20;
-    /** The least time that calls of all are spread over when watches are lost. */
+    /** Window of the first call after a watch was lost, where discovery is quick. */
     private static final long LEAST_US = 500_000;
+    /** The longest window where discovery is quick: three calls fit into the deadline. */
+    private static final long MOST_BACKOFF_US = 1_500_000;
+    /** Part of the time for asking that the wait for a call may take: the change may be older than the watch's end. */
+    private static final double ASK_PART = 0.6;
     /** A call that failed after so long had to wait. */
     private static final long WAITED_US = 1_000_000;
     /** Calls that had to wait and failed are this part of a period apart at the least. */
     private static final double EVEN = 0.6;
+    /** What an answer takes before there was any, microseconds. */
+    private static final long FIRST_ANSWER_US = 250_000;
+    /** By how much that may grow with one answer: it may have waited for those of all others. */
+    private static final int ANSWER_GROWTH = 2;
+    /** How many times as densely as discovery bears calls may come where the deadline asks for it. */
+    private static final int MOST_CROWDING = 4;
+    /** Least and longest time for which a call may go unanswered: discovery gives up after 2 or 3 s itself. */
+    private static final long LEAST_PATIENCE_US = 1_500_000;
+    private static final long MOST_PATIENCE_US = 3_500_000;
+    private static final long PATIENCE_BEYOND_US = 1_000_000;
+    private static final int MOST_DOUBLINGS = 4;
 
     private final int instances;
     private final boolean few;
     private final SplittableRandom random;
     private final double start;
     private final double place;
+    private final ListDeadline deadline;
     private long calledAt;
-    /** What the last answer took, microseconds. */
-    private long answerUs = PERIOD_US;
+    /** What an answer takes by those of late. */
+    private long answerUs = FIRST_ANSWER_US;
+    /** What the last one took. */
+    private long lastAnswerUs = PERIOD_US;
+    /** Calls in a row that failed, and those among them that nobody answered. */
+    private int failures;
+    private int unanswered;
 
     /**
      * @param few instances up to which a start calls at once
      * @param seed this instance's own, or all would draw alike
+     * @param now when the instance starts
      */
-    CallSchedule(Balancer.Settings settings, int few, long seed) {
+    CallSchedule(Balancer.Settings settings, int few, long seed, long now) {
         this.instances = settings.instances();
         this.few = instances <= few;
         this.random = new SplittableRandom(seed);
         this.start = random.nextDouble();
+        this.deadline = new ListDeadline(settings.contract().askWithinUs(), now);
         // In the first half of its place, so that clocks may differ by the other.
         double number = settings.me() < 0 ? instances * random.nextDouble()
                 : settings.me() % instances + random.nextDouble() / 2;
@@ -68,38 +89,83 @@
     /** When to call first, of one that began at a time. */
     long atStart(long began, boolean holdsList) {
         double spread = Math.min(instances / STARTS_PER_S * 1e6, holdsList ? PERIOD_US : EMPTY_US);
-        return few ? began : began + (long) (start * spread);
+        return few ? began : began + (long) (start * Math.min(spread, ASK_PART * (deadline.callBy() - began)));
     }
 
     /** A call is being made. */
     void called(long now) {
         calledAt = now;
+        deadline.called(now);
     }
 
     /** The call was answered. */
     void answered(long now) {
-        answerUs = now - calledAt;
+        lastAnswerUs = now - calledAt;
+        answerUs = Math.min(lastAnswerUs, ANSWER_GROWTH * answerUs);
+        failures = 0;
+        unanswered = 0;
+        deadline.renewed();
     }
 
     /**
-     * When to call after a watch ended or fell silent: with all others, over as long as the calls of all take
-     * if each takes what the last did.
+     * When to call after a watch ended or fell silent.
      *
      * @param quietUs since when nothing had come of it, microseconds
      */
     long afterWatch(long now, long quietUs) {
-        long all = Math.min(PERIOD_US - quietUs, instances * Math.min(PERIOD_US, answerUs));
-        return instances == 1 ? now : slot(now, Math.max(LEAST_US, all));
+        deadline.lost(now - quietUs, now);
+        return instances == 1 ? now : slot(now, Math.max(1, Math.min(PERIOD_US - quietUs, window(now))));
+    }
+
+    /**
+     * When to call after a call failed.
+     *
+     * @param unreachable whether discovery could not be reached at all
+     */
+    long afterCall(long now, boolean unreachable) {
+        deadline.callFailed(now, unreachable);
+        boolean waited = now - calledAt >= WAITED_US;
+        unanswered += waited ? 1 : 0;
+        failures++;
+        if (!waited) {
+            return slot(now, window(now));
+        }
+        long apart = (long) (PERIOD_US * (EVEN + (1 - EVEN) * random.nextDouble()));
+        return Math.max(now, Math.min(calledAt + apart, now + window(now)));
+    }
+
+    /**
+     * How long the next call may go unanswered, microseconds: as long as calls of all may take, and longer after each that
+     * did.
+     */
+    long patienceUs() {
+        long all = instances * Math.min(PERIOD_US, lastAnswerUs);
+        long usual = Math.min(MOST_PATIENCE_US, Math.max(LEAST_PATIENCE_US, all + PATIENCE_BEYOND_US));
+        return Math.min(MOST_PATIENCE_US, usual << Math.min(unanswered, MOST_DOUBLINGS));
+    }
+
+    /** When the list has to have been renewed, whatever became of calls. */
+    long listBy() {
+        return deadline.listBy();
+    }
+
+    private long callsOfAllUs() {
+        return Math.min(PERIOD_US, Math.max(LEAST_US, instances * Math.min(PERIOD_US, answerUs)));
     }
 
-    /** When to call after a call failed. */
-    long afterCall(long now) {
-        return now - calledAt < WAITED_US ? slot(now, PERIOD_US)
-                : Math.max(now, calledAt + (long) (PERIOD_US * (EVEN + (1 - EVEN) * random.nextDouble())));
+    /** Time over which calls of all are spread now. */
+    private long window(long now) {
+        long backoff = Math.min(MOST_BACKOFF_US, LEAST_US << Math.min(Math.max(0, failures - 1), MOST_DOUBLINGS));
+        long left = deadline.listBy() - now;
+        long all = callsOfAllUs();
+        long spread = Math.max(all, backoff);
+        spread = left > 0 ? Math.min(spread, Math.max(left / 2, all / MOST_CROWDING)) : spread;
+        long toAsk = (long) (ASK_PART * (deadline.callBy() - now));
+        return Math.max(1, toAsk > 0 ? Math.min(spread, toAsk) : Math.min(spread, LEAST_US));
     }
 
-    /** The next time from now on that is this instance's place in a period. */
-    private long slot(long now, long periodUs) {
-        return now + Math.floorMod((long) (place * periodUs) - now, periodUs);
+    /** The next time from now on that is this instance's place in a window. */
+    private long slot(long now, long windowUs) {
+        return now + Math.floorMod((long) (place * windowUs) - now, windowUs);
     }
 }
--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -254,6 +254,8 @@
     private boolean asking;
     private boolean subscribed;
     private long askAt;
+    /** It was said that the list has not been renewed in time. */
+    private boolean overdue;
     private final CallSchedule calls;
 
     Logic(Settings settings, long seed, long now, Actions out) {
@@ -275,7 +277,7 @@
         this.bornAt = now;
         this.tenantAt = now;
         this.nextSweep = now + SWEEP_US;
-        this.calls = new CallSchedule(settings, MANY, seed);
+        this.calls = new CallSchedule(settings, MANY, seed, now);
         this.askAt = calls.atStart(now, false);
         arm(now);
     }
@@ -287,6 +289,7 @@
         if (source != Source.CACHED && asking) {
             asking = false;
             subscribed = true;
+            overdue = false;
             calls.answered(now);
         } else if (source == Source.CACHED && !asking && !subscribed && !entries.isEmpty()) {
             askAt = calls.atStart(now, true);
@@ -343,7 +346,16 @@
 
     @Override
     public void onDiscoveryFailed(long now, long quietUs) {
-        askAt = subscribed ? calls.afterWatch(now, quietUs) : calls.afterCall(now);
+        failed(now, subscribed ? calls.afterWatch(now, quietUs) : calls.afterCall(now, false));
+    }
+
+    @Override
+    public void onDiscoveryUnreachable(long now) {
+        failed(now, subscribed ? calls.afterWatch(now, 0) : calls.afterCall(now, true));
+    }
+
+    private void failed(long now, long againAt) {
+        askAt = againAt;
         asking = false;
         subscribed = false;
         arm(now);
@@ -1148,15 +1160,24 @@
         if (mustAsk && now >= askAt) {
             asking = true;
             calls.called(now);
-            out.subscribe();
+            out.subscribe(calls.patienceUs());
             mustAsk = false;
         }
+        boolean mayBeOverdue = settings.subscribe() && !subscribed && !overdue;
+        if (mayBeOverdue && now >= calls.listBy()) {
+            overdue = true;
+            mayBeOverdue = false;
+            out.listOverdue();
+        }
         long next = !open.isEmpty() ? Math.max(nextSweep, now + 1) : Long.MAX_VALUE;
         // A hold may be shorter than a sweep: a try with little time left must still be answered in it.
         next = Math.min(next, Math.max(Math.min(nextHold, nextProbe), now + 1));
         if (mustAsk) {
             next = Math.min(next, Math.max(askAt, now + 1));
         }
+        if (mayBeOverdue) {
+            next = Math.min(next, Math.max(calls.listBy(), now + 1));
+        }
         if (next < wakeAt) {
             wakeAt = next;
             out.wakeAt(next);
--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -195,9 +195,12 @@
         run(() -> balancer.onEndpoints(time.now(), source, endpoints));
     }
 
-    /** How long to wait before discovery is called where it has moved to, microseconds: see {@link Footprint}. */
+    /**
+     * How long to wait before discovery is called where it has moved to, microseconds: see {@link Footprint}. Half of the
+     * settings' time for asking at most, since the list held counts from the call before.
+     */
     public long moveDelayUs() {
-        return footprint.moveDelayUs();
+        return Math.min(footprint.moveDelayUs(), settings.contract().askWithinUs() / 2);
     }
 
     /** Idle connections that the wire is to keep at most: see {@link Footprint}. */
@@ -205,9 +208,19 @@
         return footprint.mostIdle(ready.size());
     }
 
-    /** A call to discovery failed before anything came of it; the list held stays in force. */
-    public void discoveryFailed() {
-        run(() -> balancer.onDiscoveryFailed(time.now()));
+    /**
+     * A call to discovery failed before anything came of it; the list held stays in force.
+     *
+     * @param unreachable whether nobody was there, or the connection never came up
+     */
+    public void discoveryFailed(boolean unreachable) {
+        run(() -> {
+            if (unreachable) {
+                balancer.onDiscoveryUnreachable(time.now());
+            } else {
+                balancer.onDiscoveryFailed(time.now());
+            }
+        });
     }
 
     /**
@@ -568,7 +581,18 @@
 
     @Override
     public void subscribe() {
-        work.add(wire::subscribe);
+        subscribe(Wire.CALL_SILENCE_US);
+    }
+
+    @Override
+    public void subscribe(long patienceUs) {
+        work.add(() -> wire.subscribe(patienceUs));
+    }
+
+    @Override
+    public void listOverdue() {
+        metrics.discovery.add(Metrics.Discovery.LIST_OVERDUE);
+        work.add(wire::listOverdue);
     }
 
     @Override
--- a/src/main/java/mulleinfront/core/Footprint.java
+++ b/src/main/java/mulleinfront/core/Footprint.java
@@ -20,7 +20,7 @@
     /** Probes a second that a host is to answer for all instances together. */
     static final double PROBES_PER_HOST = 10;
     /** Time over which all call discovery where it moves for all at one moment, microseconds. */
-    static final long MOVE_US = 3_000_000;
+    static final long MOVE_US = 2_000_000;
 
     private final boolean few;
     private int instances;
--- a/src/main/java/mulleinfront/core/Wire.java
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -17,22 +17,16 @@
     /** Fresh connections to one attempt, as long as they are reset before a request is written whole. */
     int MOST_FRESH = 3;
     /**
-     * Discovery's heartbeat comes every 2 s: one that is a second late is silence. What a silent watch misses
+     * Discovery's heartbeat comes every 2 s: one that is three quarters of a second late is silence. What a silent watch misses
      * counts as told 6 s after it fell silent even if it never came, so by then the next call must have been
      * answered, with those of all others whose watches fell silent in the same moment.
      */
-    long SILENCE_US = 3_000_000;
+    long SILENCE_US = 2_750_000;
     /**
      * The same of a call that nothing has come of yet: it may wait for its turn, and discovery gives up after
      * 2 or 3 s.
      */
     long CALL_SILENCE_US = 3_500_000;
-    /**
-     * The agent that pushes lists answers at once and at no cost: a broken watch of it is asked for after
-     * this.
-     */
-    long AGENT_AGAIN_US = 500_000;
-
     /** No time of its own yet. */
     long OPEN = Long.MAX_VALUE;
 
@@ -96,6 +90,13 @@
     /** Asks a host how it is; the end is told once, as {@link Outcome#IGNORED} if there is no such host. */
     void probe(String hostId, End<A> end);
 
-    /** Asks discovery for the list and for every change from here on. */
-    void subscribe();
+    /**
+     * Asks discovery for the list and for every change from here on.
+     *
+     * @param patienceUs how long nothing may come of the call, microseconds: then it has failed
+     */
+    void subscribe(long patienceUs);
+
+    /** The list that is held was not renewed in time: for the log alone. */
+    default void listOverdue() { }
 }
--- a/src/main/java/mulleinfront/emulator/DiscoveryClient.java
+++ b/src/main/java/mulleinfront/emulator/DiscoveryClient.java
@@ -9,6 +9,7 @@
 import mulleinfront.Balancer.Availability;
 import mulleinfront.Balancer.Endpoint;
 import mulleinfront.Balancer.Source;
+import mulleinfront.core.AgentBackoff;
 import mulleinfront.core.Core;
 import mulleinfront.core.ListOrder;
 import mulleinfront.core.Time;
@@ -24,6 +25,7 @@
     private Core<Call, Answer> core;
     private EmulatedWire wire;
     private final ListOrder order = new ListOrder();
+    private final AgentBackoff agent = new AgentBackoff();
     private long version = -1;
     private Watch watch;
 
@@ -44,9 +46,9 @@
     }
 
     /** Asks for what changed and for all changes to come, unless that is asked for already. */
-    void watch() {
+    void watch(long patienceUs) {
         if (watch == null) {
-            watch = new Watch();
+            watch = new Watch(patienceUs);
             watch.waits();
             world.audit.asked(proxy, time.now());
             world.registry.call(watch);
@@ -67,7 +69,7 @@
             stop();
             world.audit.watchFailed(proxy, time.now(), false);
         }
-        watch();
+        watch(Wire.CALL_SILENCE_US);
     }
 
     /** Takes over a list, first for the wire and then for the module. */
@@ -99,7 +101,10 @@
         /** When it was last heard of, heartbeats too, if it has fallen silent since. */
         private long heardAt;
 
-        private Watch() {
+        private final long patienceUs;
+
+        private Watch(long patienceUs) {
+            this.patienceUs = patienceUs;
             toldTo = version;
         }
 
@@ -119,7 +124,7 @@
         }
 
         void waits() {
-            patience = time.after(Wire.CALL_SILENCE_US, this::fail);
+            patience = time.after(patienceUs, this::fail);
         }
 
         @Override
@@ -173,11 +178,12 @@
             world.registry.leave(this);
             world.audit.watchFailed(proxy, time.now(), overloaded);
             if (!world.scenario.discovery().asked()) {
-                time.after(Wire.AGENT_AGAIN_US, DiscoveryClient.this::watch);
+                time.after(heard ? agent.afterWatch() : agent.afterCall(),
+                        () -> DiscoveryClient.this.watch(Wire.CALL_SILENCE_US));
             } else if (heard) {
                 core.watchLost(heardAt == 0 ? 0 : time.now() - heardAt);
             } else {
-                core.discoveryFailed();
+                core.discoveryFailed(unreachable);
             }
         }
     }
--- a/src/main/java/mulleinfront/emulator/EmulatedWire.java
+++ b/src/main/java/mulleinfront/emulator/EmulatedWire.java
@@ -86,8 +86,8 @@
     }
 
     @Override
-    public void subscribe() {
-        discovery.watch();
+    public void subscribe(long patienceUs) {
+        discovery.watch(patienceUs);
     }
 
     /** Closes the idle connections to an address that is listed no more. */
--- a/src/main/java/mulleinfront/emulator/Proxy.java
+++ b/src/main/java/mulleinfront/emulator/Proxy.java
@@ -11,6 +11,7 @@
 import mulleinfront.core.Caller;
 import mulleinfront.core.Core;
 import mulleinfront.core.Time;
+import mulleinfront.core.Wire;
 import mulleinfront.fleet.Change;
 import mulleinfront.fleet.Fleet;
 
@@ -194,7 +195,7 @@
             core.observe((now, why) -> world.unserved(number, now, why));
             discovery.take(known, Source.CACHED);
             if (!world.scenario.discovery().asked()) {
-                discovery.watch();
+                discovery.watch(Wire.CALL_SILENCE_US);
             }
             core.perform();
         }
--- a/src/main/java/mulleinfront/emulator/Registry.java
+++ b/src/main/java/mulleinfront/emulator/Registry.java
@@ -193,6 +193,7 @@
         long now = world.queue.now();
         if (down || due(refusals, w.proxy())) {
             failedCalls++;
+            w.unreachable = down;
             world.queue.after(world.network.delay(w.zone(), 0), w::fail);
             return;
         }
--- a/src/main/java/mulleinfront/emulator/Stage.java
+++ b/src/main/java/mulleinfront/emulator/Stage.java
@@ -94,6 +94,15 @@
         }
     }
 
+    /** Runs something at an instant, or at once where that has been. */
+    private void at(long instant, Runnable what) {
+        if (instant <= world.queue.now()) {
+            what.run();
+        } else {
+            world.queue.after(instant - world.queue.now(), what);
+        }
+    }
+
     /**
      * A world at its instant 0; nothing has happened yet.
      *
@@ -377,11 +386,10 @@
             Request before = s.out;
             s.out = r;
             current = r;
-            if (before == null || before.over) {
-                world.audit.sent(proxy, id, r.number, host.id, firstByteAt);
-            } else {
-                world.queue.after(CLOSING_US, () -> world.audit.sent(proxy, id, r.number, host.id, firstByteAt));
-            }
+            // In the order of attempts: what came after one that is still to be judged is judged after it.
+            long closing = before == null || before.over ? 0 : CLOSING_US;
+            r.judgedAt = Math.max(world.queue.now() + closing, before == null ? 0 : before.judgedAt);
+            at(r.judgedAt, () -> world.audit.sent(proxy, id, r.number, host.id, firstByteAt));
             world.tally.sent(world.zoneOf(proxy) == host.zone);
             if (world.queue.now() - servedAt > life.machine().idleCloseUs()) {
                 r.reset();
@@ -414,6 +422,8 @@
         private final Reply reply;
         private ServerModel.Job job;
         private boolean over;
+        /** When the auditor hears that it was sent. */
+        private long judgedAt;
 
         private Request(Connection connection, Sent sent, int number, Reply reply) {
             this.connection = connection;
@@ -485,7 +495,8 @@
         private void ended(Outcome outcome) {
             if (!over) {
                 over = true;
-                world.audit.attemptEnded(connection.proxy, sent.t.call.id(), number, outcome, world.queue.now());
+                at(judgedAt, () -> world.audit.attemptEnded(connection.proxy, sent.t.call.id(), number, outcome,
+                        world.queue.now()));
                 world.account.attemptEnded(sent.t.call.id(), number, connection.host, outcome);
                 world.tally.outcome(outcome);
             }
--- a/src/main/java/mulleinfront/emulator/Trace.java
+++ b/src/main/java/mulleinfront/emulator/Trace.java
@@ -211,6 +211,12 @@
             module.onDiscoveryFailed(now, quietUs);
         }
 
+        @Override
+        public void onDiscoveryUnreachable(long now) {
+            begin(now, proxy, "discovery-unreachable").end();
+            module.onDiscoveryUnreachable(now);
+        }
+
         @Override
         public void onRequest(long now, Request r) {
             begin(now, proxy, "request").word(r.id()).used(" class=").number(r.classIndex()).used(" key=")
@@ -314,6 +320,18 @@
             actions.subscribe();
         }
 
+        @Override
+        public void subscribe(long patienceUs) {
+            action("subscribe").end();
+            actions.subscribe(patienceUs);
+        }
+
+        @Override
+        public void listOverdue() {
+            action("list-overdue").end();
+            actions.listOverdue();
+        }
+
         @Override
         public void wakeAt(long atUs) {
             action("wake").word(atUs).end();
--- a/src/main/java/mulleinfront/emulator/Watcher.java
+++ b/src/main/java/mulleinfront/emulator/Watcher.java
@@ -28,4 +28,6 @@
 
     /** Discovery gave the call up because too many waited. */
     boolean overloaded;
+    /** Nobody was there to take the call. */
+    boolean unreachable;
 }
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -34,6 +34,7 @@
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.Balancer.RequestClass;
 import mulleinfront.Balancer.Source;
+import mulleinfront.core.AgentBackoff;
 import mulleinfront.core.Core;
 import mulleinfront.core.Metrics;
 import mulleinfront.core.Refusals;
@@ -85,6 +86,7 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Standing standing;
     private final Metrics metrics = new Metrics();
+    private final AgentBackoff agent = new AgentBackoff();
     private final EventLog log;
     private String loggedMetrics = metrics.words();
     /** A listening socket that the platform handed over, until it is taken up. */
@@ -118,13 +120,13 @@
             }
 
             @Override
-            public void failed() {
-                askAgain(core::discoveryFailed);
+            public void failed(boolean unreachable) {
+                askAgain(() -> core.discoveryFailed(unreachable), agent.afterCall());
             }
 
             @Override
             public void lost(long quietUs) {
-                askAgain(() -> core.watchLost(quietUs));
+                askAgain(() -> core.watchLost(quietUs), agent.afterWatch());
             }
         });
         this.frontend = new Frontend(this, standing, loop, half, metrics.clientCloses);
@@ -168,8 +170,13 @@
         }
 
         @Override
-        public void subscribe() {
-            discovery.watch();
+        public void subscribe(long patienceUs) {
+            discovery.watch(patienceUs);
+        }
+
+        @Override
+        public void listOverdue() {
+            log.listOverdue();
         }
     }
 
@@ -478,7 +485,7 @@
         } else {
             // What the agent has counts as told from the first moment on, and the list of the configuration may be old:
             // that one is for an agent that is silent, since it has learnt nothing then.
-            discovery.watch();
+            discovery.watch(Wire.CALL_SILENCE_US);
             loop.schedule(this::goByKnown, AGENT_WAIT_MS, TimeUnit.MILLISECONDS);
         }
         core.perform();
@@ -564,11 +571,11 @@
     }
 
     /** Where discovery is asked, by the module's word. */
-    private void askAgain(Runnable tell) {
+    private void askAgain(Runnable tell, long agentDelayUs) {
         if (config.settings().subscribe()) {
             tell.run();
         } else {
-            loop.schedule(discovery::watch, Wire.AGENT_AGAIN_US, TimeUnit.MICROSECONDS);
+            loop.schedule(() -> discovery.watch(Wire.CALL_SILENCE_US), agentDelayUs, TimeUnit.MICROSECONDS);
         }
     }
 
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -47,9 +47,14 @@
  */
 final class Discovery {
     private static final long SILENCE_MS = Wire.SILENCE_US / 1000;
-    private static final long CALL_SILENCE_MS = Wire.CALL_SILENCE_US / 1000;
     /** News counts as told 4 s after a move: within that time a silent new address is asked again. */
     private static final long MOVED_SILENCE_MS = 1_800;
+    /** The same where it is asked: it answers in turn. */
+    private static final long MOVED_TURN_MS = 2_500;
+    /** An answer begins with a list, whatever heartbeats come before it: one that has none by then has failed. */
+    private static final long FIRST_LIST_MS = 4_500;
+    /** A list that has begun goes on: nothing of it for so long is its end. */
+    private static final long STALLED_MS = 1_500;
     private static final int CONNECT_MS = 1_000;
     private static final int LONGEST_LIST = 4 * 1024 * 1024;
 
@@ -57,8 +62,12 @@
     interface Listener {
         void listed(Source source, List<Endpoint> endpoints);
 
-        /** A call failed before anything came of it. */
-        void failed();
+        /**
+         * A call failed before anything came of it.
+         *
+         * @param unreachable whether the connection never came up
+         */
+        void failed(boolean unreachable);
 
         /**
          * A watch ended or fell silent.
@@ -80,6 +89,10 @@
     private long version = -1;
     private boolean heardAny;
     private Watch watch;
+    private final boolean pushed;
+    /** It is elsewhere, has not been asked there yet, and was where it is asked first moved from at that time. */
+    private boolean moved;
+    private long movedNanos;
     private final EventLog log;
     private final EnumCounts<Metrics.Discovery> counts;
     private long calls;
@@ -89,6 +102,7 @@
         this.log = log;
         this.counts = counts;
         this.address = config.discovery();
+        this.pushed = !config.settings().subscribe();
         this.upstream = upstream;
         this.listener = listener;
         config.zones().forEach(name -> zones.put(name, zones.size()));
@@ -112,39 +126,53 @@
         return heardAny;
     }
 
-    /** Asks for what changed and for all changes to come, unless that is asked for already. */
-    void watch() {
-        if (watch == null) {
-            ask(CALL_SILENCE_MS);
+    /**
+     * Asks for what changed and for all changes to come, unless that is asked for already.
+     *
+     * @param patienceUs how long nothing may come of the call, microseconds
+     */
+    void watch(long patienceUs) {
+        if (moved) {
+            takeUp();
+        } else if (watch == null) {
+            ask(TimeUnit.MICROSECONDS.toMillis(patienceUs), 0);
         }
     }
 
     /**
      * Takes up another discovery. It may count its versions in its own way, so the whole list is asked for; until it has
-     * come the old one holds. The old watch was given up, not failed.
+     * come the old one holds, and until then the old watch goes on. That was given up, not failed.
      *
      * @param delayUs time until it is asked, unless somebody asks before; 0: at once
      */
     void move(InetSocketAddress to, long delayUs) {
         if (!to.equals(address)) {
-            stop();
             address = to;
-            version = -1;
-            order.forget();
+            movedNanos = moved ? movedNanos : System.nanoTime();
+            moved = true;
             if (delayUs == 0) {
-                ask(MOVED_SILENCE_MS);
+                takeUp();
             } else {
                 bootstrap.config().group().next().schedule(() -> {
-                    if (address.equals(to)) {
-                        watch();
+                    if (moved && address.equals(to)) {
+                        takeUp();
                     }
                 }, delayUs, TimeUnit.MICROSECONDS);
             }
         }
     }
 
-    private void ask(long patienceMs) {
-        Watch asked = new Watch(patienceMs);
+    private void takeUp() {
+        moved = false;
+        stop();
+        version = -1;
+        order.forget();
+        ask(pushed ? MOVED_SILENCE_MS : MOVED_TURN_MS, movedNanos);
+    }
+
+    /** @param movedAtNanos when discovery was moved, if this is the first call since; else 0 */
+    private void ask(long patienceMs, long movedAtNanos) {
+        Watch asked = new Watch(patienceMs, movedAtNanos);
         watch = asked;
         bootstrap.clone().handler(asked.pipeline()).connect(address).addListener(f -> {
             if (!f.isSuccess()) {
@@ -210,11 +238,14 @@
         private final long call = ++calls;
         private final long beganNanos = System.nanoTime();
         private final Silence silence;
+        private final long movedAtNanos;
+        private boolean connected;
         private boolean heard;
         /** The newest version that it told of. */
         private long newest = -1;
 
-        Watch(long patienceMs) {
+        Watch(long patienceMs, long movedAtNanos) {
+            this.movedAtNanos = movedAtNanos;
             this.silence = new Silence(patienceMs, () -> log.callAnswered(call, sinceBeginMs()));
             log.callBegan(call, address, version);
             counts.add(Metrics.Discovery.CALL);
@@ -233,6 +264,12 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            connected = true;
+            ctx.executor().schedule(() -> {
+                if (!heard && watch == this) {
+                    exceptionCaught(ctx, new IOException("no list came"));
+                }
+            }, FIRST_LIST_MS, TimeUnit.MILLISECONDS);
             String after = version >= 0 ? "&after=" + version : "";
             ctx.writeAndFlush(Unpooled.copiedBuffer("GET /api/targets?watch=1" + after + " HTTP/1.1\r\n"
                     + "Host: discovery\r\n\r\n", StandardCharsets.US_ASCII));
@@ -285,8 +322,10 @@
                 counts.add(silence.answered() ? Metrics.Discovery.WATCH_LOST : Metrics.Discovery.CALL_FAILED);
                 if (silence.answered()) {
                     listener.lost(silence.quietUs());
+                } else if (movedAtNanos != 0) {
+                    listener.lost((System.nanoTime() - movedAtNanos) / 1000);
                 } else {
-                    listener.failed();
+                    listener.failed(!connected);
                 }
             }
         }
@@ -347,6 +386,7 @@
      */
     private static final class Objects extends JsonObjectDecoder {
         private Future<?> patience;
+        private Future<?> stalled;
 
         Objects() {
             super(LONGEST_LIST);
@@ -360,10 +400,10 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
-            if (patience == null && actualReadableBytes() > 0) {
-                patience = ctx.executor().schedule(() -> {
-                    ctx.fireExceptionCaught(new IOException("a list did not get to its end"));
-                }, SILENCE_MS, TimeUnit.MILLISECONDS);
+            if (actualReadableBytes() > 0) {
+                patience = patience == null ? failsAfter(ctx, SILENCE_MS) : patience;
+                cancel(stalled);
+                stalled = failsAfter(ctx, STALLED_MS);
             }
             super.channelReadComplete(ctx);
         }
@@ -374,9 +414,21 @@
         }
 
         private void ended() {
-            if (patience != null) {
-                patience.cancel(false);
-                patience = null;
+            cancel(patience);
+            patience = null;
+            cancel(stalled);
+            stalled = null;
+        }
+
+        private static Future<?> failsAfter(ChannelHandlerContext ctx, long delayMs) {
+            return ctx.executor().schedule(() -> {
+                ctx.fireExceptionCaught(new IOException("a list did not get to its end"));
+            }, delayMs, TimeUnit.MILLISECONDS);
+        }
+
+        private static void cancel(Future<?> timer) {
+            if (timer != null) {
+                timer.cancel(false);
             }
         }
     }
--- a/src/main/java/mulleinfront/proxy/EventLog.java
+++ b/src/main/java/mulleinfront/proxy/EventLog.java
@@ -49,6 +49,11 @@
                 .append(" holds=").append(version));
     }
 
+    /** The list held had to be renewed by now, whatever became of calls. */
+    void listOverdue() {
+        line(event("list_overdue"));
+    }
+
     /** It stands otherwise towards its clients. */
     void state(String from, String to) {
         line(event("state").append(" from=").append(from).append(" to=").append(to));
