A change counts as told 2 s after its watch ended: calls and the judge go by that

Change: ListDeadline has that time; the first call after a watch's end begins within 1.5 s of it. The window for repeats goes by what is left of the 6 s alone. Silence after 2.6 s. ToldDeadlines judges by it.

--- a/src/main/java/mulleinfront/CallSchedule.java
+++ b/src/main/java/mulleinfront/CallSchedule.java
@@ -37,7 +37,7 @@
     /** The longest window where discovery is quick: three calls fit into the deadline. */
     private static final long MOST_BACKOFF_US = 1_500_000;
     /** Part of the time for asking that the wait for a call may take: the change may be older than the watch's end. */
-    private static final double ASK_PART = 0.6;
+    private static final double ASK_PART = 0.75;
     /** A call that failed after so long had to wait. */
     private static final long WAITED_US = 1_000_000;
     /** Calls that had to wait and failed are this part of a period apart at the least. */
@@ -50,8 +50,8 @@
     private static final int MOST_CROWDING = 4;
     /** Least and longest time for which a call may go unanswered: discovery gives up after 2 or 3 s itself. */
     private static final long LEAST_PATIENCE_US = 1_500_000;
-    private static final long MOST_PATIENCE_US = 3_500_000;
-    private static final long PATIENCE_BEYOND_US = 1_000_000;
+    private static final long MOST_PATIENCE_US = 3_200_000;
+    private static final long PATIENCE_BEYOND_US = 200_000;
     private static final int MOST_DOUBLINGS = 4;
 
     private final int instances;
@@ -144,9 +144,9 @@
         return Math.min(MOST_PATIENCE_US, usual << Math.min(unanswered, MOST_DOUBLINGS));
     }
 
-    /** When the list has to have been renewed, whatever became of calls. */
-    long listBy() {
-        return deadline.listBy();
+    /** When changes may count as told that are not known, whatever became of calls. */
+    long toldBy() {
+        return deadline.toldBy();
     }
 
     private long callsOfAllUs() {
@@ -156,7 +156,7 @@
     /** Time over which calls of all are spread now. */
     private long window(long now) {
         long backoff = Math.min(MOST_BACKOFF_US, LEAST_US << Math.min(Math.max(0, failures - 1), MOST_DOUBLINGS));
-        long left = deadline.listBy() - now;
+        long left = deadline.renewBy() - now;
         long all = callsOfAllUs();
         long spread = Math.max(all, backoff);
         spread = left > 0 ? Math.min(spread, Math.max(left / 2, all / MOST_CROWDING)) : spread;
--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -1164,7 +1164,7 @@
             mustAsk = false;
         }
         boolean mayBeOverdue = settings.subscribe() && !subscribed && !overdue;
-        if (mayBeOverdue && now >= calls.listBy()) {
+        if (mayBeOverdue && now >= calls.toldBy()) {
             overdue = true;
             mayBeOverdue = false;
             out.listOverdue();
@@ -1176,7 +1176,7 @@
             next = Math.min(next, Math.max(askAt, now + 1));
         }
         if (mayBeOverdue) {
-            next = Math.min(next, Math.max(calls.listBy(), now + 1));
+            next = Math.min(next, Math.max(calls.toldBy(), now + 1));
         }
         if (next < wakeAt) {
             wakeAt = next;
--- a/src/main/java/mulleinfront/core/Wire.java
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -17,11 +17,11 @@
     /** Fresh connections to one attempt, as long as they are reset before a request is written whole. */
     int MOST_FRESH = 3;
     /**
-     * Discovery's heartbeat comes every 2 s: one that is three quarters of a second late is silence. What a silent watch misses
+     * Discovery's heartbeat comes every 2 s: one that is 0.6 s late is silence. What a silent watch misses
      * counts as told 6 s after it fell silent even if it never came, so by then the next call must have been
      * answered, with those of all others whose watches fell silent in the same moment.
      */
-    long SILENCE_US = 2_750_000;
+    long SILENCE_US = 2_600_000;
     /**
      * The same of a call that nothing has come of yet: it may wait for its turn, and discovery gives up after
      * 2 or 3 s.
--- a/src/main/java/mulleinfront/emulator/ToldDeadlines.java
+++ b/src/main/java/mulleinfront/emulator/ToldDeadlines.java
@@ -6,12 +6,14 @@
 /**
  * From when a change that discovery has counts as told to a client proxy, though it has not been told it. An open watch
  * is told when it is written to. One without a watch counts as told the settings' time for asking after the change, its
- * last call or its start (four times as long if that call failed); and everybody 6 s after discovery had the change and
- * could be reached, or after the watch fell silent.
+ * last call or its start (four times as long if that call failed); one that has not called since its watch ended 2 s after
+ * that end; and everybody 6 s after discovery had the change and could be reached, or after the watch fell silent.
  */
 final class ToldDeadlines {
     /** Told at the latest so long after discovery had a change and could be reached, whatever calls failed. */
     static final long REACHABLE_US = 6_000_000;
+    /** A watch that has ended is a poll whose wait is over: what it missed counts as told so long after. */
+    private static final long WATCH_ENDED_US = 2_000_000;
     /** A call that failed binds for this many times as long. */
     private static final int AFTER_FAILURE = 4;
     private static final long NEVER = Long.MAX_VALUE;
@@ -27,6 +29,8 @@
         private boolean failed;
         private long calledAt;
         private long silentSince = NEVER;
+        /** When its watch ended, if it has not called since. */
+        private long endedAt = NEVER;
         /** It can reach discovery itself, and runs. */
         private boolean reaches = true;
         private long reachesSince;
@@ -50,7 +54,9 @@
     }
 
     void called(int proxy, long now) {
-        of(proxy).calledAt = now;
+        Told told = of(proxy);
+        told.calledAt = now;
+        told.endedAt = NEVER;
     }
 
     void watching(int proxy) {
@@ -74,6 +80,7 @@
     void ended(int proxy, long now, boolean overloaded) {
         Told told = of(proxy);
         told.failed = !told.watching;
+        told.endedAt = told.watching ? now : told.endedAt;
         told.watching = false;
         if (overloaded) {
             told.reachesSince = now;
@@ -104,7 +111,8 @@
             return Math.max(since, told.silentSince) + REACHABLE_US;
         }
         long asked = Math.max(since, told.calledAt) + askWithinUs * (told.failed ? AFTER_FAILURE : 1);
-        return Math.min(since + REACHABLE_US, asked);
+        long ended = told.endedAt == NEVER ? NEVER : Math.max(since, told.endedAt) + WATCH_ENDED_US;
+        return Math.min(since + REACHABLE_US, Math.min(asked, ended));
     }
 
     /** When it last called, or started; for the words of a breach. */
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -477,6 +477,7 @@
 
     private void begin(Core.Maker maker, ServerSocketChannel handedOver) {
         inherited = handedOver;
+        log.started(config.settings());
         upstream.begin();
         core.begin(maker, config.seed());
         loop.scheduleWithFixedDelay(this::logMetrics, METRICS_S, METRICS_S, TimeUnit.SECONDS);
--- a/src/main/java/mulleinfront/proxy/EventLog.java
+++ b/src/main/java/mulleinfront/proxy/EventLog.java
@@ -2,6 +2,8 @@
 
 import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import mulleinfront.Balancer;
 
 /** Events of one client proxy on standard error: each a line with a name and {@code key=value} fields. */
 final class EventLog {
@@ -24,6 +26,13 @@
         return '"' + String.valueOf(reason).replace('"', '\'').replace('\n', ' ') + '"';
     }
 
+    /** A process starts: the settings that its deadlines go by. */
+    void started(Balancer.Settings settings) {
+        line(event("start").append(" instances=").append(settings.instances())
+                .append(settings.subscribe() ? " lists=asked" : " lists=pushed").append(" ask_within_ms=")
+                .append(TimeUnit.MICROSECONDS.toMillis(settings.contract().askWithinUs())));
+    }
+
     /** A call to discovery begins; it says which version is held, -1 for none. */
     void callBegan(long call, InetSocketAddress to, long version) {
         line(event("discovery_call").append(" call=").append(call).append(" to=")
--- a/src/test/java/mulleinfront/CallScheduleTest.java
+++ b/src/test/java/mulleinfront/CallScheduleTest.java
@@ -81,7 +81,7 @@
                     at = one.afterCall(at + 1_000, false);
                 }
                 assertTrue(at < lost + 5 * S, "after " + (at - lost));
-                assertEquals(lost + ListDeadline.REACHABLE_US, one.listBy());
+                assertEquals(lost + ListDeadline.REACHABLE_US, one.toldBy());
             }
         }
     }
@@ -99,7 +99,8 @@
             long at = one.afterWatch(lost, 0);
             assertTrue(at < lost + askWithinUs, "after " + (at - lost));
             one.called(at);
-            assertEquals(Math.min(at + askWithinUs, lost + ListDeadline.REACHABLE_US), one.listBy());
+            assertTrue(at < lost + ListDeadline.WATCH_ENDED_US, "and within 2 s of a watch's end");
+            assertEquals(Math.min(at + askWithinUs, lost + ListDeadline.REACHABLE_US), one.toldBy());
             long again = one.afterCall(at + 1_000, false);
             assertTrue(again < at + 4 * askWithinUs, "four times as long after a call that failed");
         }
@@ -116,7 +117,7 @@
             long ended = at + 1_000;
             at = one.afterCall(ended, true);
             assertTrue(at < ended + 1_500_001, "it goes on calling, after " + (at - ended));
-            assertEquals(ended + ListDeadline.REACHABLE_US, one.listBy());
+            assertEquals(ended + ListDeadline.REACHABLE_US, one.toldBy());
         }
     }
 
--- a/src/test/java/mulleinfront/kit/StaleListTest.java
+++ b/src/test/java/mulleinfront/kit/StaleListTest.java
@@ -72,6 +72,19 @@
                 """);
     }
 
+    /** Where the settings allow 10 s, it is 2 s after the end of the watch: a poll's wait is over then. */
+    @Test
+    void whoseWatchEndedAsksWithinTwoSecondsOfItsEnd() throws Exception {
+        keepsDrains("""
+                [discovery]
+                call = "400ms"
+                [[fault]]
+                do = "discovery-ends"
+                at = "7.5s"
+                of-each = 1
+                """);
+    }
+
     /** Two calls of each are refused after that: each process has to have the drain 6 s after discovery had it. */
     @Test
     void whoseCallsWereRefusedTwiceHasTheListWithinSixSeconds() throws Exception {
