RuleGuard: one place asked before sending, repeating, refusing, closing and starting

Change: RuleGuard in core, asked as the first byte leaves and before a connection is opened; it counts what it prevented and, apart, violations seen afterwards (overdue answers, connections closed on unanswered requests), in the log and at the operators' door. Sends by an overdue list are counted. The auditor's tests of broken modules write unasked now, since the core stops these modules: a new test holds that. Result: core, emulator and layer tests pass; checking allocates nothing (RuleGuardTest).

--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import mulleinfront.Balancer;
 import mulleinfront.Balancer.AttemptEnd;
@@ -33,6 +31,8 @@
     private static final long MARGIN_US = 25_000;
     /** What the module is told ends this much earlier still, so that its own last word comes first. */
     private static final long LAST_WORD_US = 10_000;
+    /** A final answer so long after its client's time is a lost request. */
+    private static final long LATE_ANSWER_US = 500_000;
     /** Longest time for which a request is read while an attempt of it goes out. */
     private static final long MOST_READING_US = 600_000_000;
 
@@ -41,9 +41,11 @@
     private final Wire<Q, A> wire;
     private final Consumer<Throwable> defects;
     private final Metrics metrics;
+    private final RuleGuard guard;
+    private boolean listOverdue;
     private final Map<String, Exchange<Q, A>> open = new HashMap<>();
     /** Hosts that the lists told so far say are ready, whether or not the module has taken note of it. */
-    private final Set<String> ready = new HashSet<>();
+    private final Map<String, Endpoint> ready = new HashMap<>();
     /** Events for the module and its actions, in order; see {@link #run}. */
     private final ArrayDeque<Runnable> work = new ArrayDeque<>();
     private boolean working;
@@ -73,6 +75,11 @@
         private int outNumber;
         private int attempts;
         private boolean mayHaveRun;
+        /** Where that was, for the group that drops repeats. */
+        private Endpoint ranAt;
+        private Endpoint outAt;
+        /** A final answer after this is lost, microseconds. */
+        private long overdueAt = Long.MAX_VALUE;
         /** How the last attempt ended; of use once there was one. */
         private Outcome lastOutcome = Outcome.IGNORED;
         /** When the first attempt that may have run was sent; the window for repeats counts from then. */
@@ -81,6 +88,8 @@
         /** The request is still being read; what it may take from its last byte on, microseconds. */
         private boolean reading;
         private long patience;
+        /** How long its client waits. */
+        private long deadlineUs;
         private long budget;
         private long outTimeout;
         /** Its answer has begun. */
@@ -118,6 +127,7 @@
      */
     public Core(Settings settings, Time time, Wire<Q, A> wire, Consumer<Throwable> defects, Metrics metrics) {
         this.metrics = metrics;
+        this.guard = metrics.guard;
         this.settings = settings;
         this.time = time;
         this.wire = wire;
@@ -182,12 +192,13 @@
      * decision was made before; the module hears of it in its turn.
      */
     public void listed(Source source, List<Endpoint> endpoints) {
+        listOverdue &= source == Source.CACHED;
         if (source != Source.DELTA) {
             ready.clear();
         }
         for (Endpoint e : endpoints) {
             if (e.availability() == Availability.READY) {
-                ready.add(e.id());
+                ready.put(e.id(), e);
             } else {
                 ready.remove(e.id());
             }
@@ -312,6 +323,8 @@
         x.reading = reading;
         x.patience = patience;
         x.budget = budget;
+        x.overdueAt = reading ? Long.MAX_VALUE : at + deadlineUs + LATE_ANSWER_US;
+        x.deadlineUs = deadlineUs;
         guard(x, Math.min(reading ? MOST_READING_US : at + patience - time.now(), most));
         caller.opened(x);
         run(() -> balancer.onRequest(time.now(), x.request));
@@ -328,6 +341,7 @@
             return;
         }
         x.reading = false;
+        x.overdueAt = time.now() + x.deadlineUs + LATE_ANSWER_US;
         long most = Math.max(1, lastAt - time.now());
         long left = Math.min(x.budget, most);
         x.endAt = time.now() + left;
@@ -360,9 +374,8 @@
                 observer.ended(time.now(), new Refusal(x.request.id(), Refusal.Cause.TIME,
                         x.request.classIndex(), x.type.worth(), time.now() - bornAt, Double.NaN, "the guard"));
             }
-            boolean harmless = x.type.effect() == Effect.RETRYABLE || !x.mayHaveRun && x.out == null
-                    || x.type.effect() == Effect.DEDUP && x.type.scope() == DedupScope.ALL;
-            if (harmless) {
+            answering(x);
+            if (mayRefuse(x)) {
                 x.caller.refused(comeBackUs());
             } else {
                 x.caller.failed(true);
@@ -371,6 +384,17 @@
         }
     }
 
+    /** Whether another try is harmless: nothing has run or may yet, or it may run any number of times. */
+    private static boolean mayRefuse(Exchange<?, ?> x) {
+        return x.type.effect() == Effect.RETRYABLE || !x.mayHaveRun && x.out == null
+                || x.type.effect() == Effect.DEDUP && x.type.scope() == DedupScope.ALL;
+    }
+
+    /** Its final answer is being given. */
+    private void answering(Exchange<Q, A> x) {
+        guard.verify(RuleGuard.Check.ANSWER_OVERDUE, time.now() <= x.overdueAt, x.request.id());
+    }
+
     private void over(Exchange<Q, A> x) {
         x.answered = true;
         x.guard.cancel();
@@ -414,11 +438,14 @@
         }
         long sentAt = time.now();
         long left = x.endAt - sentAt;
-        boolean vain = x.answered || left <= 0 && !x.reading || timeoutUs < 0 || x.out != null
-                || number >= settings.limits().maxAttempts();
+        Endpoint host = ready.get(hostId);
+        boolean vain = timeoutUs < 0 || !guard.allows(RuleGuard.Check.SEND_AFTER_ANSWER, !x.answered)
+                || !guard.allows(RuleGuard.Check.SEND_AFTER_DEADLINE, left > 0 || x.reading)
+                || !guard.allows(RuleGuard.Check.SEND_BESIDE_ANOTHER,
+                        x.out == null && number < settings.limits().maxAttempts());
         long within = x.reading ? Wire.OPEN : timeoutUs == 0 ? left : Math.min(left, timeoutUs);
         Wire.Attempt made = vain ? null : wire.attempt(x.request.id(), number, hostId, x.call, within,
-                () -> !x.answered && ready.contains(hostId) && mayRunNow(x) && present(x), new Wire.End<>() {
+                () -> maySend(x, hostId), new Wire.End<>() {
                     @Override
                     public void ended(Outcome outcome, A answer) {
                         attemptEnded(x, number, sentAt, outcome, answer);
@@ -439,6 +466,7 @@
             return;
         }
         x.outNumber = number;
+        x.outAt = host;
         x.out = made;
         x.outTimeout = timeoutUs;
         x.streaming = false;
@@ -450,12 +478,40 @@
     }
 
     /**
-     * Asked when the first byte is about to leave: a connection that comes up late may have crossed the end of the
-     * window that was open when the repeat was decided.
+     * Asked when the first byte is about to leave: while a connection came up the request may have ended, its endpoint may
+     * have been told to drain, and the window that was open when the repeat was decided may have closed.
      */
-    private boolean mayRunNow(Exchange<Q, A> x) {
-        return !x.mayHaveRun || x.type.effect() != Effect.DEDUP
-                || time.now() < x.mayHaveRunAt + x.type.dedupWindowUs();
+    private boolean maySend(Exchange<Q, A> x, String hostId) {
+        Endpoint host = ready.get(hostId);
+        boolean may = guard.allows(RuleGuard.Check.SEND_AFTER_ANSWER, !x.answered)
+                && guard.allows(RuleGuard.Check.START_AT_LEFT_ENDPOINT, host != null)
+                && mayRepeat(x, host)
+                && guard.allows(RuleGuard.Check.SEND_AFTER_CLIENT_LEFT, present(x));
+        if (may && listOverdue) {
+            metrics.discovery.add(Metrics.Discovery.SENT_WHILE_OVERDUE);
+        }
+        return may;
+    }
+
+    /** Whether an attempt there is harmless after those before. */
+    private boolean mayRepeat(Exchange<Q, A> x, Endpoint host) {
+        if (!x.mayHaveRun || x.type.effect() == Effect.RETRYABLE) {
+            return true;
+        }
+        if (x.type.effect() == Effect.FRAGILE) {
+            return guard.allows(RuleGuard.Check.REPEAT_UNSAFE, false);
+        }
+        return guard.allows(RuleGuard.Check.REPEAT_OUTSIDE_GROUP, inGroup(x, host))
+                && guard.allows(RuleGuard.Check.REPEAT_AFTER_WINDOW,
+                        time.now() < x.mayHaveRunAt + x.type.dedupWindowUs());
+    }
+
+    private static boolean inGroup(Exchange<?, ?> x, Endpoint host) {
+        return switch (x.type.scope()) {
+            case ALL -> true;
+            case ZONE -> x.ranAt != null && x.ranAt.zone() == host.zone();
+            case CELL -> x.ranAt != null && x.ranAt.cell() == host.cell();
+        };
     }
 
     private boolean present(Exchange<Q, A> x) {
@@ -478,6 +534,7 @@
         over(x);
         x.begun = true;
         x.mayHaveRun = true;
+        x.ranAt = x.outAt;
         x.caller.begins(answer);
         streams(x, number);
         return true;
@@ -493,10 +550,12 @@
         if (!outcome.neverRan() && !x.mayHaveRun) {
             x.mayHaveRun = true;
             x.mayHaveRunAt = sentAt;
+            x.ranAt = x.outAt;
         }
         if (x.begun) {
             run(() -> forget(x));
         } else if (outcome == Outcome.OK && !x.answered) {
+            answering(x);
             metrics.answers.add(Metrics.Answer.SERVED);
             over(x);
             x.caller.served(answer);
@@ -528,9 +587,14 @@
         work.add(() -> {
             Exchange<Q, A> x = conclude(requestId);
             if (x != null) {
+                boolean harmless = mayRefuse(x);
                 metrics.answers.add(x.attempts == 0 ? Metrics.Answer.REFUSED_UNSENT
                         : Metrics.Answer.REFUSED_AFTER_ATTEMPT);
-                x.caller.refused(retryAfterUs);
+                if (guard.allows(RuleGuard.Check.REFUSE_AFTER_EFFECT, harmless)) {
+                    x.caller.refused(retryAfterUs);
+                } else {
+                    x.caller.failed(false);
+                }
             }
         });
     }
@@ -552,6 +616,7 @@
         if (x == null || x.answered) {
             return null;
         }
+        answering(x);
         over(x);
         forget(x);
         return x;
@@ -591,6 +656,7 @@
 
     @Override
     public void listOverdue() {
+        listOverdue = true;
         metrics.discovery.add(Metrics.Discovery.LIST_OVERDUE);
         work.add(wire::listOverdue);
     }
--- a/src/main/java/mulleinfront/core/Metrics.java
+++ b/src/main/java/mulleinfront/core/Metrics.java
@@ -45,9 +45,13 @@
         CALL_FAILED,
         WATCH_LOST,
         /** The list held had to be renewed by then, and was not. */
-        LIST_OVERDUE
+        LIST_OVERDUE,
+        /** An attempt by such a list: its endpoint may count as told to drain. */
+        SENT_WHILE_OVERDUE
     }
 
+    /** Checks of the rules: what was prevented, and what was broken all the same. */
+    public final RuleGuard guard = new RuleGuard();
     public final EnumCounts<Answer> answers = new EnumCounts<>(Answer.class);
     /** Attempts, by how they ended. */
     public final EnumCounts<Outcome> attempts = new EnumCounts<>(Outcome.class);
@@ -66,6 +70,7 @@
         clientCloses.appendTo(out, "client_closes");
         endpointCloses.appendTo(out, "endpoint_closes");
         discovery.appendTo(out, "discovery");
+        guard.appendTo(out);
         return out.length() == 0 ? "none" : out.substring(1);
     }
 }
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -109,7 +109,7 @@
         this.standing = new Standing(log::state);
         int half = Math.max(1, (config.sockets() - OWN_SOCKETS) / 2);
         this.upstream = new Upstream(loop, config.dialTimeoutUs(), config.settings().limits().connIdleUs(),
-                half, this::mostIdle, metrics.endpointCloses);
+                half, this::mostIdle, metrics);
         this.core = new Core<>(config.settings(), new LoopTime(), new Sockets(), ClientProxy::defect, metrics);
         this.discovery = new Discovery(config, loop, upstream, log, metrics.discovery, new Discovery.Listener() {
             @Override
@@ -129,7 +129,7 @@
                 askAgain(() -> core.watchLost(quietUs), agent.afterWatch());
             }
         });
-        this.frontend = new Frontend(this, standing, loop, half, metrics.clientCloses);
+        this.frontend = new Frontend(this, standing, loop, half, metrics);
         List<RequestClass> all = config.settings().classes();
         for (int i = 0; i < all.size(); i++) {
             classes.put(all.get(i).name(), i);
@@ -478,6 +478,7 @@
     private void begin(Core.Maker maker, ServerSocketChannel handedOver) {
         inherited = handedOver;
         log.started(config.settings());
+        metrics.guard.listen(log::violation);
         upstream.begin();
         core.begin(maker, config.seed());
         loop.scheduleWithFixedDelay(this::logMetrics, METRICS_S, METRICS_S, TimeUnit.SECONDS);
--- a/src/main/java/mulleinfront/proxy/EventLog.java
+++ b/src/main/java/mulleinfront/proxy/EventLog.java
@@ -2,8 +2,10 @@
 
 import io.netty.util.NetUtil;
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import mulleinfront.Balancer;
+import mulleinfront.core.RuleGuard;
 
 /** Events of one client proxy on standard error: each a line with a name and {@code key=value} fields. */
 final class EventLog {
@@ -68,6 +70,12 @@
         line(event("state").append(" from=").append(from).append(" to=").append(to));
     }
 
+    /** A rule was broken by what this process did. */
+    void violation(RuleGuard.Check check, String requestId) {
+        line(event("violation").append(" check=").append(check.name().toLowerCase(Locale.ROOT)).append(" request=")
+                .append(requestId));
+    }
+
     /** What has been counted since the start. */
     void metrics(String counts) {
         line(event("metrics").append(' ').append(counts));
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -40,7 +40,9 @@
 import mulleinfront.core.Caller;
 import mulleinfront.core.Core;
 import mulleinfront.core.EnumCounts;
+import mulleinfront.core.Metrics;
 import mulleinfront.core.Metrics.Close;
+import mulleinfront.core.RuleGuard;
 import mulleinfront.core.Standing;
 import mulleinfront.manage.Calls;
 import mulleinfront.manage.ManagementServer;
@@ -101,6 +103,7 @@
     private final ChannelGroup clients;
     private final int mostClients;
     private final EnumCounts<Close> closes;
+    private final RuleGuard guard;
     /** Connections without an open request, the longest quiet first. */
     private final LinkedHashSet<Client> quiet = new LinkedHashSet<>();
     /** Those on which nothing more is said, until the client has closed as well; the first to part first. */
@@ -116,9 +119,9 @@
     private long lastReadNanos;
     private long lastAnswerNanos;
 
-    /** @param closes counts why connections are closed */
-    Frontend(ClientProxy proxy, Standing standing, EventLoop loop, int mostClients, EnumCounts<Close> closes) {
-        this.closes = closes;
+    Frontend(ClientProxy proxy, Standing standing, EventLoop loop, int mostClients, Metrics metrics) {
+        this.closes = metrics.clientCloses;
+        this.guard = metrics.guard;
         this.mostClients = mostClients;
         this.proxy = proxy;
         this.standing = standing;
@@ -794,6 +797,10 @@
             if (!closed) {
                 closed = true;
                 closes.add(why);
+                boolean owed = exchange != null || !ahead.isEmpty();
+                if (owed && why != Close.BY_PEER) {
+                    guard.verify(RuleGuard.Check.CLOSE_UNANSWERED, channel.left(), null);
+                }
             }
             channel.close();
         }
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -39,7 +39,9 @@
 import java.util.function.IntSupplier;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.core.EnumCounts;
+import mulleinfront.core.Metrics;
 import mulleinfront.core.Metrics.Close;
+import mulleinfront.core.RuleGuard;
 import mulleinfront.core.Wire;
 import mulleinfront.settings.LoadReport;
 
@@ -82,6 +84,7 @@
     private final int mostConnections;
     private final IntSupplier mostIdle;
     private final EnumCounts<Close> closes;
+    private final RuleGuard guard;
     /** Idle connections to all hosts, the longest idle first. */
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
     /** All that are not closed, also while they come up. */
@@ -93,12 +96,13 @@
     /**
      * @param mostConnections connections to hold at most, also while all are in use
      * @param mostIdle idle connections to keep at most
-     * @param closes counts why connections are closed
+     * @param metrics counts why connections are closed, and what was against a rule
      */
     Upstream(EventLoop loop, long dialTimeoutUs, long connIdleUs, int mostConnections, IntSupplier mostIdle,
-            EnumCounts<Close> closes) {
+            Metrics metrics) {
         this.loop = loop;
-        this.closes = closes;
+        this.closes = metrics.endpointCloses;
+        this.guard = metrics.guard;
         this.mostIdle = mostIdle;
         this.mostConnections = mostConnections;
         this.mostIdleNanos = (long) (connIdleUs * 1000 * Wire.IDLE_PART);
@@ -244,7 +248,7 @@
                 finish(Outcome.CONNECT_ERROR, null);
                 return;
             }
-            if (!host.ready) {
+            if (!guard.allows(RuleGuard.Check.START_AT_LEFT_ENDPOINT, host.ready)) {
                 // A connection costs it something too, and nothing would be written there.
                 finish(Outcome.IGNORED, null);
                 return;
@@ -287,7 +291,7 @@
         private void write(Connection c, boolean reused) {
             connection = c;
             connecting = null;
-            if (!host.ready || !wanted.getAsBoolean()) {
+            if (!guard.allows(RuleGuard.Check.START_AT_LEFT_ENDPOINT, host.ready) || !wanted.getAsBoolean()) {
                 finish(Outcome.IGNORED, null);
                 return;
             }
--- a/src/test/java/mulleinfront/core/CoreTest.java
+++ b/src/test/java/mulleinfront/core/CoreTest.java
@@ -42,7 +42,8 @@
     private boolean cancels = true;
     private boolean present = true;
     private Core.Exchange<String, String> exchange;
-    private final Core<String, String> core = new Core<>(settings(), time, new ScriptedWire(), defects::add);
+    private final Metrics metrics = new Metrics();
+    private final Core<String, String> core = new Core<>(settings(), time, new ScriptedWire(), defects::add, metrics);
 
     CoreTest() {
         core.begin((settings, seed, now, actions) -> {
@@ -240,6 +241,56 @@
         assertEquals(0, core.held());
     }
 
+    // ---- what a module may not do --------------------------------------------------------------------
+
+    private void again(int type, String endpointId) {
+        onEnd = e -> {
+            if (e.attempt() == 0) {
+                module.send(e.requestId(), endpointId, 0);
+            }
+        };
+        sent(type);
+        attempts.get(0).end(Outcome.FAILED);
+    }
+
+    @Test
+    void anUnsafeRequestThatMayHaveRunIsNotSentAgain() {
+        again(UNSAFE, "i");
+        said("ended 0 FAILED", "start r/1@i", "ended 1 IGNORED");
+        assertEquals(1, metrics.guard.prevented(RuleGuard.Check.REPEAT_UNSAFE));
+        assertEquals(0, metrics.guard.violations());
+    }
+
+    @Test
+    void aKeyedRequestThatMayHaveRunStaysInItsGroup() {
+        core.listed(Source.FULL, List.of(new Endpoint("h", 0, 0, 0, Availability.READY, 1, 0),
+                new Endpoint("i", 1, 0, 0, Availability.READY, 1, 0)));
+        log.clear();
+        again(KEYED, "i");
+        said("ended 0 FAILED", "start r/1@i", "ended 1 IGNORED");
+        assertEquals(1, metrics.guard.prevented(RuleGuard.Check.REPEAT_OUTSIDE_GROUP));
+    }
+
+    @Test
+    void whatMayHaveRunIsFailedWhereTheModuleRefusesIt() {
+        onEnd = e -> module.refuse(e.requestId(), 0);
+        sent(UNSAFE);
+        attempts.get(0).end(Outcome.RESET);
+        said("ended 0 RESET", "FAILED");
+        assertEquals(1, metrics.guard.prevented(RuleGuard.Check.REFUSE_AFTER_EFFECT));
+        nothingFollows();
+    }
+
+    @Test
+    void whatHasNotRunIsRefusedAsTheModuleSays() {
+        onEnd = e -> module.refuse(e.requestId(), 0);
+        sent(UNSAFE);
+        attempts.get(0).end(Outcome.QUEUE_FULL);
+        said("ended 0 QUEUE_FULL", "REFUSED 0");
+        assertEquals(0, metrics.guard.prevented(RuleGuard.Check.REFUSE_AFTER_EFFECT));
+        nothingFollows();
+    }
+
     // ---- what goes on while it comes -----------------------------------------------------------------
 
     private void takeReading(int type) {
--- /dev/null
+++ b/src/test/java/mulleinfront/core/RuleGuardTest.java
@@ -0,0 +1,55 @@
+package mulleinfront.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
+import mulleinfront.core.RuleGuard.Check;
+import org.junit.jupiter.api.Test;
+
+/** What is prevented and what was broken are counted apart, and checking costs no memory. */
+class RuleGuardTest {
+    private final RuleGuard guard = new RuleGuard();
+
+    @Test
+    void whatIsPreventedIsNoViolation() {
+        assertTrue(guard.allows(Check.REPEAT_UNSAFE, true));
+        assertFalse(guard.allows(Check.REPEAT_UNSAFE, false));
+        assertEquals(1, guard.prevented(Check.REPEAT_UNSAFE));
+        assertEquals(0, guard.violations());
+    }
+
+    @Test
+    void aViolationIsCountedAndTold() {
+        List<String> told = new ArrayList<>();
+        guard.listen((check, requestId) -> told.add(check + " " + requestId));
+        guard.verify(Check.ANSWER_OVERDUE, true, "a");
+        guard.verify(Check.ANSWER_OVERDUE, false, "b");
+        guard.verify(Check.CLOSE_UNANSWERED, false, null);
+        assertEquals(List.of("ANSWER_OVERDUE b", "CLOSE_UNANSWERED null"), told);
+        assertEquals(1, guard.violations(Check.ANSWER_OVERDUE));
+        assertEquals(2, guard.violations());
+        StringBuilder words = new StringBuilder();
+        guard.appendTo(words);
+        assertEquals(" violations.answer_overdue=1 violations.close_unanswered=1", words.toString());
+    }
+
+    @Test
+    void checkingAllocatesNothing() {
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        for (int round = 0; round < 2; round++) {
+            long before = threads.getCurrentThreadAllocatedBytes();
+            for (int i = 0; i < 10_000; i++) {
+                guard.allows(Check.SEND_AFTER_ANSWER, i % 2 == 0);
+                guard.verify(Check.ANSWER_OVERDUE, true, "a");
+            }
+            long allocated = threads.getCurrentThreadAllocatedBytes() - before;
+            // The first round loads what is loaded once.
+            assertTrue(round == 0 || allocated < 1_000, allocated + " bytes");
+        }
+    }
+}
--- a/src/test/java/mulleinfront/emulator/AuditorTest.java
+++ b/src/test/java/mulleinfront/emulator/AuditorTest.java
@@ -58,9 +58,9 @@
                         Broken.mixesAnswersUp()),
                 Arguments.of("sends after the end", Rule.LOST, "after its end", real, Broken.sendsAfterTheEnd()),
                 Arguments.of("resends a payout", Rule.TWICE, "sent again though attempt",
-                        (Core.Maker) Broken::resendsPayouts, Fitting.PLAIN),
+                        (Core.Maker) Broken::resendsPayouts, Broken.writesUnasked()),
                 Arguments.of("resends outside the group", Rule.TWICE, "outside the group",
-                        (Core.Maker) Broken::leavesTheGroup, Fitting.PLAIN),
+                        (Core.Maker) Broken::leavesTheGroup, Broken.writesUnasked()),
                 Arguments.of("calls failures harmless", Rule.TWICE, "refused though attempt", real,
                         Broken.callsFailuresHarmless()),
                 Arguments.of("sends second copies", Rule.TWICE, "is out", real, Broken.sendsSecondCopies()),
@@ -94,6 +94,14 @@
                 + result.service().outcomes());
     }
 
+    @Test
+    void theCoresGuardStopsAModuleThatRepeatsOrSendsWhatItMayNot() throws Exception {
+        for (Core.Maker broken : List.<Core.Maker>of(Broken::resendsPayouts, Broken::leavesTheGroup,
+                Broken::deafToDrains)) {
+            assertEquals(List.of(), play(broken, Fitting.PLAIN).breaches());
+        }
+    }
+
     @Test
     void aServerThatIsPushedOverFallsAndStaysDown() throws Exception {
         World.Result result = play(Broken::floodsTheNewest, Fitting.PLAIN);
--- a/src/test/java/mulleinfront/emulator/GraphWorldTest.java
+++ b/src/test/java/mulleinfront/emulator/GraphWorldTest.java
@@ -285,7 +285,7 @@
         GraphSpec failing = changed("errors = \"0.02%\"", "errors = \"10%\"");
         assertEquals(List.of(), world(failing, 1).play().broken());
         caught("no effect happens twice along a path", world(failing, 1, Broken::resendsPayouts,
-                Fitting.PLAIN,
+                Broken.writesUnasked(),
                 GraphApplication.PLAIN).play());
     }
 
