Slow start and accepting keep their spans: stepped wall clocks, failed accepts, full folders

Slow start went by now less started_ms: with the wall clock stepped an hour back a cold server counted as warm, an hour ahead as cold for an hour (LogicTest, red on the code before by reading: ramp(now - warmFrom)). StartTimes takes a start that cannot be, by when the list was last current, for now. After a failed accept (ENFILE, ENOBUFS, EPROTO) Netty accepts nothing for 1 s, beyond most deadlines: now 5 ms (read in Netty's acceptor, not played). A kept copy of the configuration that could not be written was dropped: it is written again each second.

--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -254,6 +254,8 @@
     private boolean asking;
     private boolean subscribed;
     private long askAt;
+    /** Until when the list was known to be up to date. */
+    private long currentAt = Long.MIN_VALUE / 2;
     /** It was said that the list has not been renewed in time. */
     private boolean overdue;
     private final CallSchedule calls;
@@ -295,6 +297,10 @@
             askAt = calls.atStart(now, true);
         }
         walk++;
+        if (source == Source.DELTA) {
+            // Until now the watch had told all.
+            currentAt = now;
+        }
         for (Endpoint e : entries) {
             Node n = nodes.get(e.id());
             if (e.availability() != Availability.GONE) {
@@ -309,6 +315,9 @@
         if (source != Source.DELTA) {
             List.copyOf(listed).stream().filter(n -> n.seen != walk).forEach(this::leave);
         }
+        if (source != Source.CACHED) {
+            currentAt = now;
+        }
         ring.merge();
         if (listed.size() <= WEIGHED * entries.size()) {
             weigh(now);
@@ -323,12 +332,13 @@
         n.kind = e.kind() & KINDS - 1;
         n.cell = e.cell();
         n.weight = e.weight() > 0 ? e.weight() : 1;
-        boolean restarted = e.startedAtUs() != 0 && e.startedAtUs() != n.warmFrom && !n.down;
+        boolean restarted = e.startedAtUs() != 0 && e.startedAtUs() != n.startedAt && !n.down;
         if (restarted || !n.onRing) {
             // A new process: what was known of the old one no longer holds, and it is cold.
             readmit(n);
+            n.startedAt = e.startedAtUs();
             if (e.startedAtUs() != 0) {
-                cool(n, e.startedAtUs());
+                cool(n, StartTimes.coldFrom(e.startedAtUs(), currentAt, now));
             }
         }
         if (!n.onRing) {
--- a/src/main/java/mulleinfront/State.java
+++ b/src/main/java/mulleinfront/State.java
@@ -32,6 +32,8 @@
         /** What of it is in the sum over all endpoints. */
         double counted;
         double offered;
+        /** When its process began, by the list that told of it; and from when it counts as cold. */
+        long startedAt;
         long warmFrom;
         boolean cold;
         boolean ready;
--- a/src/main/java/mulleinfront/follow/KeptCopy.java
+++ b/src/main/java/mulleinfront/follow/KeptCopy.java
@@ -19,6 +19,8 @@
  */
 final class KeptCopy {
     private static final String FILE = "configuration.json";
+    /** A write that failed, for want of room say, is made again after this. */
+    private static final long AGAIN_MS = 1_000;
 
     private final Path folder;
     private final AtomicReference<Version> waiting = new AtomicReference<>();
@@ -53,19 +55,34 @@
     }
 
     private synchronized void writeWaiting() {
-        for (Version version; (version = waiting.get()) != null; waiting.compareAndSet(version, null)) {
+        for (Version version; (version = waiting.get()) != null;) {
             try {
                 write(version);
                 said = false;
+                waiting.compareAndSet(version, null);
             } catch (IOException e) {
                 if (!said) {
                     said = true;
-                    System.err.println("mulleinfront: version " + version.number() + " can't be kept: " + e);
+                    System.err.println("mulleinfront: version " + version.number() + " can't be kept, tried on: " + e);
+                }
+                if (!sleep()) {
+                    return;
                 }
             }
         }
     }
 
+    /** Before it is written once more: what was taken is owed until it is kept. */
+    private static boolean sleep() {
+        try {
+            Thread.sleep(AGAIN_MS);
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     private void write(Version version) throws IOException {
         Path part = folder.resolve(FILE + ".part");
         try (FileChannel out = FileChannel.open(part, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
--- a/src/main/java/mulleinfront/proxy/ClientChannel.java
+++ b/src/main/java/mulleinfront/proxy/ClientChannel.java
@@ -23,6 +23,8 @@
     /** What is read past the pipeline at most: what one connection's first receive window holds, bytes. */
     private static final int MOST_LOOKED = 64 * 1024;
     private static final int READ_BYTES = 8 * 1024;
+    /** How long nothing is accepted after that has failed. */
+    private static final int ACCEPT_AGAIN_MS = 5;
 
     private final ByteBuffer room;
     private final IntConsumer hold;
@@ -119,6 +121,7 @@
         /** Whether others may accept there too, so that what waits is not lost when this one is closed. */
         private final boolean inherited;
         private int accepted;
+        private boolean pausedAfterFailure;
 
         /**
          * @param listening handed over by the platform; null to listen anew
@@ -140,7 +143,15 @@
 
         @Override
         protected int doReadMessages(List<Object> into) throws Exception {
-            SocketChannel socket = SocketUtils.accept(javaChannel());
+            SocketChannel socket;
+            try {
+                socket = SocketUtils.accept(javaChannel());
+            } catch (IOException e) {
+                // No descriptor, no buffers, or a connection that was over: what waits behind it is asked for again soon.
+                // Netty would accept nothing for a second, and those who wait would be lost by then.
+                acceptAgainSoon();
+                return 0;
+            }
             if (socket == null) {
                 return 0;
             }
@@ -154,6 +165,19 @@
             }
         }
 
+        private void acceptAgainSoon() {
+            if (isActive()) {
+                pausedAfterFailure = true;
+                config().setAutoRead(false);
+                eventLoop().schedule(() -> {
+                    pausedAfterFailure = false;
+                    if (isActive()) {
+                        config().setAutoRead(true);
+                    }
+                }, ACCEPT_AGAIN_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+
         /**
          * Closes, but takes first what the system has accepted: it would reset that, and what was sent there. A read
          * at a time, since what is closed to make room frees its descriptor only with the loop's next select; and as
@@ -167,7 +191,7 @@
             if (!inherited && isActive() && config().isAutoRead() && reads > 0) {
                 unsafe().read();
             }
-            if (accepted > 0) {
+            if (accepted > 0 || pausedAfterFailure && reads > 0) {
                 eventLoop().schedule(() -> closeAfterAll(reads - 1, then), 1, TimeUnit.MILLISECONDS);
             } else {
                 close();
--- a/src/test/java/mulleinfront/LogicTest.java
+++ b/src/test/java/mulleinfront/LogicTest.java
@@ -294,6 +294,30 @@
         assertTrue(first < 30, "restarted got " + first);
     }
 
+    @Test
+    void aStartIsColdWhereverTheWallClockWasSteppedTo() {
+        // An hour back, an hour ahead: discovery's word of the start is no time of this instance's clock.
+        for (long step : new long[] {-3_600_000_000L, 3_600_000_000L}) {
+            Rig rig = new Rig(Rig.settings(true, Rig.SAFE)).endpoints(4);
+            rig.pass(30_000_000);
+            rig.balancer.onEndpoints(rig.now, Source.DELTA, List.of(new Balancer.Endpoint("stepped", 0, 0, 0,
+                    Balancer.Availability.READY, 1, rig.now + step)));
+            int first = share(rig, "stepped", 200);
+            assertTrue(first < 25, "cold at first, by " + step + ": " + first + " of 200");
+            rig.pass(30_000_000);
+            int later = share(rig, "stepped", 200);
+            assertTrue(later > 25, "and warm after its time: " + later + " of 200");
+        }
+    }
+
+    private static int share(Rig rig, String endpoint, int requests) {
+        int there = 0;
+        for (int i = 0; i < requests; i++) {
+            there += endpoint.equals(rig.serve(0, "k" + i)) ? 1 : 0;
+        }
+        return there;
+    }
+
     @Test
     void discoveryIsAskedAgainAfterEachFailure() {
         Rig rig = new Rig(Rig.settings(true, Rig.SAFE));
