kit soak: random overlapping faults by seed over processes, judged by the invariants

Judged by the four rules, by the processes and by the violations that they count. A failing seed is printed with the command that plays it again.

--- a/src/main/java/mulleinfront/cli/Kit.java
+++ b/src/main/java/mulleinfront/cli/Kit.java
@@ -33,7 +33,7 @@
 
 /** {@code kit}: rehearsals on real sockets. */
 @Command(name = "kit", mixinStandardHelpOptions = true, subcommands = {Kit.Run.class, Kit.Suite.class, Kit.Show.class,
-        ScaleCommand.class},
+        ScaleCommand.class, SoakCommand.class},
         description = "Rehearses on real sockets, on loopback, against client proxies that run as processes.")
 final class Kit implements Runnable {
     /** Kit and daemon are of different versions. */
--- a/src/main/java/mulleinfront/emulator/Drawn.java
+++ b/src/main/java/mulleinfront/emulator/Drawn.java
@@ -17,7 +17,13 @@
          * A fleet near what it can do is asked for more for some seconds. Its servers work on all that they hold at
          * once, also on what nobody waits for any more, and those that held too much for a while stay slow.
          */
-        JAM;
+        JAM,
+        /**
+         * Faults of all kinds at random times, overlapping: of discovery, servers, connections, clients and the client
+         * proxies themselves. What the rules ask for stays possible: the calls of one client proxy that discovery spoils
+         * in a row are few.
+         */
+        SOAK;
 
         /** The name on the command line. */
         public String word() {
@@ -100,6 +106,46 @@
             late-worth = "50%"
             """;
 
+    /** Length of a soak where none is asked for, and the least, seconds. */
+    public static final int SOAK_S = 60;
+    public static final int LEAST_SOAK_S = 12;
+    /** Troubles of a soak begin this far from its start and its end, and its list's troubles this far from each other. */
+    private static final double SOAK_EDGE_S = 4;
+    private static final double LISTS_APART_S = 8;
+    /** Time between the beginnings of a soak's other troubles, on the average. */
+    private static final double TROUBLE_EVERY_S = 1.6;
+
+    private static final String SOAK_CLASSES = """
+
+            [[class]]
+            name = "look"
+            share = "45%"
+            work = "8ms"
+            effect = "safe"
+            aim = "300ms"
+            deadline = "800ms"
+
+            [[class]]
+            name = "pay"
+            share = "30%"
+            work = "10ms"
+            effect = "unsafe"
+            aim = "500ms"
+            deadline = "1.3s"
+            worth = 8
+
+            [[class]]
+            name = "file"
+            share = "25%"
+            work = "9ms"
+            effect = "keyed"
+            group = "zone"
+            window = "4s"
+            aim = "700ms"
+            deadline = "2.1s"
+            worth = 5
+            """;
+
     private final Chance chance;
     private final StringBuilder out = new StringBuilder();
 
@@ -119,9 +165,20 @@
         return switch (family) {
             case HERD -> d.herd(seed, instances, startUs);
             case JAM -> d.jam(seed, instances, startUs);
+            case SOAK -> d.soakDay(seed, instances, SOAK_S, 0);
         };
     }
 
+    /**
+     * Draws a soak of another length.
+     *
+     * @param lengthS how long clients ask, seconds, at least {@link #LEAST_SOAK_S}
+     * @param alsoListed servers that whole lists name besides, all of them draining
+     */
+    public static String soak(long seed, int instances, int lengthS, int alsoListed) {
+        return new Drawn(Family.SOAK, seed).soakDay(seed, instances, lengthS, alsoListed);
+    }
+
     private Drawn line(String form, Object... values) {
         out.append(String.format(Locale.ROOT, form, values)).append('\n');
         return this;
@@ -190,6 +247,86 @@
         return out.toString();
     }
 
+    private String soakDay(long seed, int instances, int lengthS, int alsoListed) {
+        line("# Drawn: kit soak --seeds %d --instances %d --length %d --also-listed %d", seed, instances, lengthS,
+                alsoListed);
+        line("%n[scenario]%ntitle = \"faults of all kinds over %d client proxies\"%nlength = \"%ds\"%nsettle = \"9s\"",
+                instances, lengthS);
+        line("%n[network]%nzones = [\"zone-a\", \"zone-b\", \"zone-c\"]");
+        line("%n[discovery]%ncall = \"%s\"%ntimeout = \"%s\"%nalso-listed = %d", time(between(2e5, 1.6e6) / instances),
+                time(between(2e6, 3e6)), alsoListed);
+        line("notice = [\"100ms\", \"1.5s\"]%nsilent-notice = [\"3s\", \"6s\"]");
+        line("%n[rules]%nask-within = \"%s\"", time(chance.below(2) == 0 ? 1e7 : between(1.8e6, 6e6)));
+        line("%n[proxies]%ncount = %d%nspread = %.2f%nstart-within = \"%s\"%nknown = \"%s\"%nknown-age = \"5s\"",
+                instances, between(0, 0.8), time(between(1e5, 2e6)), chance.below(2) == 0 ? "current" : "stale");
+        line("%n[clients]%nretries = %d%nbackoff = [\"12ms\", \"150ms\"]%nleave = \"%.1f%%\"", chance.below(3),
+                between(0, 6));
+        int hosts = 8 + chance.below(9);
+        line("%n[[servers]]%nname = \"host\"%ncount = %d%ncores = 2%nspeed = [0.8, 1.6]%nerrors = \"0.2%%\"", hosts);
+        line("cold-from = [\"20%%\", \"40%%\"]%ncold-for = [\"5s\", \"20s\"]%nconnections-per-core = %d", 20 * instances);
+        line("idle-close = \"%s\"", time(between(1e6, 5e6)));
+        out.append(SOAK_CLASSES);
+        line("%n[load]%nrate = \"%.0f/s\"%nshape = \"bursty\"%nkeys = %d", instances * between(4, 9),
+                chance.below(2) * 300);
+        double last = lengthS - SOAK_EDGE_S;
+        for (double at = SOAK_EDGE_S + between(0, 3); at < last; at += LISTS_APART_S + between(0, 4)) {
+            listTrouble(at);
+        }
+        for (double at = SOAK_EDGE_S; at < last; at += between(0, 2 * TROUBLE_EVERY_S)) {
+            trouble(at, last - at, instances, hosts);
+        }
+        return out.toString();
+    }
+
+    private Drawn fault(String kind, double atS) {
+        return line("%n[[fault]]%ndo = \"%s\"%nat = \"%s\"", kind, time(atS * 1e6));
+    }
+
+    /** A trouble of discovery, and mostly servers that drain as it begins. */
+    private void listTrouble(double atS) {
+        if (chance.below(4) > 0) {
+            fault("drain", atS).line("count = %d", 1 + chance.below(2));
+        }
+        String[] kinds = {"discovery-down", "discovery-silent", "discovery-late", "discovery-refuses", "discovery-cuts",
+            "discovery-ends", "watches-silent", "watches-reset"};
+        String kind = kinds[chance.below(kinds.length)];
+        fault(kind, atS);
+        switch (kind) {
+            case "discovery-down", "discovery-silent" -> line("for = \"%s\"", time(between(5e5, 6e6)));
+            case "discovery-late" -> line("by = [\"0ms\", \"%s\"]%nfor = \"%s\"", time(between(1e5, 8e5)),
+                    time(between(1e6, 5e6)));
+            case "discovery-refuses", "discovery-cuts", "discovery-ends" -> line("of-each = %d", 1 + chance.below(2));
+            default -> { }
+        }
+    }
+
+    /** A trouble of servers, connections or client proxies. */
+    private void trouble(double atS, double leftS, int instances, int hosts) {
+        int some = 1 + chance.below(Math.max(1, instances / 3));
+        double lasts = Math.min(leftS, between(0.5, 5));
+        switch (chance.below(13)) {
+            case 0 -> fault("kill-proxy", atS).line("count = %d%nwithin = [\"0s\", \"%s\"]%ndown = \"%s\"", some,
+                    time(between(1e4, 1e6)), time(between(0, 2e6)));
+            case 1 -> fault("pause-proxy", atS).line("count = %d%nfor = \"%s\"", some, time(between(2e4, 1.2e6)));
+            case 2 -> fault("end-proxy", atS).line("count = %d%nwithin = [\"0s\", \"%s\"]", some, time(between(1e4, 2e6)));
+            case 3 -> fault("reload-proxy", atS).line("count = %d%nwithin = [\"0s\", \"%s\"]", some,
+                    time(between(1e4, 1e6)));
+            case 4 -> fault("hang", atS).line("count = 1%nfor = \"%s\"", time(lasts * 1e6));
+            case 5 -> fault("slow", atS).line("count = 1%nfactor = %.1f%nfor = \"%s\"", between(2, 10), time(lasts * 1e6));
+            case 6 -> fault("errors", atS).line("count = 2%nrate = \"%.0f%%\"%nfor = \"%s\"", between(5, 60),
+                    time(lasts * 1e6));
+            case 7 -> fault("reset-before", atS).line("count = %d%nrate = \"%.0f%%\"%nfor = \"%s\"", hosts / 2,
+                    between(5, 40), time(lasts * 1e6));
+            case 8 -> fault("reset-after", atS).line("count = %d%nrate = \"%.0f%%\"%nfor = \"%s\"", hosts / 2,
+                    between(5, 40), time(lasts * 1e6));
+            case 9 -> fault("restart", atS).line("count = 1%ndrain = \"%s\"%nmoved = %b", time(between(0, 2e6)),
+                    chance.below(2) == 0);
+            case 10 -> fault("vanish", atS).line("count = 1%nfor = \"%s\"", time(lasts * 1e6));
+            case 11 -> fault("pause", atS).line("count = 1%nfor = \"%s\"", time(between(5e4, 8e5)));
+            default -> fault("burst", atS).line("requests = %d", 10 + chance.below(10 * instances));
+        }
+    }
+
     private String jam(long seed, int instances, long startUs) {
         line("# Drawn: emulate draw jam --seed %d --instances %d", seed, instances);
         line("%n[scenario]%ntitle = \"a burst leaves the servers of %d client proxies slow\"", instances);
--- a/src/main/java/mulleinfront/emulator/Scenario.java
+++ b/src/main/java/mulleinfront/emulator/Scenario.java
@@ -54,9 +54,10 @@
      * @param period how late changes reach those who watch
      * @param callUs time it takes for one call; calls are worked through in turn
      * @param timeoutUs a call that is not answered by then has failed
+     * @param alsoListed servers that whole lists name besides, all of them draining; on real sockets only
      */
     public record Discovery(boolean asked, Range notice, Range silentNotice, Range period, long callUs,
-            long timeoutUs) { }
+            long timeoutUs, int alsoListed) { }
 
     /** The list that a client proxy starts with. */
     public enum Known { CURRENT, STALE, EMPTY }
--- a/src/main/java/mulleinfront/emulator/ScenarioReader.java
+++ b/src/main/java/mulleinfront/emulator/ScenarioReader.java
@@ -149,7 +149,7 @@
                 s.times("notice", new Range(640_000, 4_200_000)),
                 s.times("silent-notice", new Range(6_200_000, 12_000_000)),
                 s.times("period", new Range(160_000, 720_000)), s.time("call", 4_000L),
-                positive(s, "timeout", 3_000_000L));
+                positive(s, "timeout", 3_000_000L), s.count("also-listed", 0, 0));
         s.done();
         return d;
     }
--- a/src/main/java/mulleinfront/kit/StandInDiscovery.java
+++ b/src/main/java/mulleinfront/kit/StandInDiscovery.java
@@ -102,10 +102,25 @@
             out.writeNumberField("started_ms", clock.unixMillis(e.startedAtUs()));
             out.writeEndObject();
         }
+        for (int i = 0; told.full() && i < scenario.discovery().alsoListed(); i++) {
+            alsoListed(out, proxy, i);
+        }
         out.writeEndArray();
         out.writeEndObject();
     }
 
+    /** One of those that make a list long and are never to be sent to. */
+    private void alsoListed(JsonGenerator out, int proxy, int number) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("id", "also-listed-" + number);
+        out.writeStringField("addr", NetUtil.toSocketAddressString(places.server(proxy, Integer.MAX_VALUE)));
+        out.writeStringField("zone", scenario.zones().get(number % scenario.zones().size()));
+        out.writeStringField("state", "terminating");
+        out.writeNumberField("weight", 1.0);
+        out.writeNumberField("started_ms", 0);
+        out.writeEndObject();
+    }
+
     /** One call, and the watch that it becomes. */
     private final class Call extends SimpleChannelInboundHandler<FullHttpRequest> implements Stage.Lines {
         private final int proxy;
--- /dev/null
+++ b/src/test/java/mulleinfront/kit/SoakTest.java
@@ -0,0 +1,71 @@
+package mulleinfront.kit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import mulleinfront.emulator.Drawn;
+import mulleinfront.emulator.ScenarioReader;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+
+/** The soak, small and bounded: what is drawn, what is judged, and one seed on processes. */
+@Execution(ExecutionMode.CONCURRENT)
+class SoakTest {
+    private static final String JAVA = "exec '" + Path.of(System.getProperty("java.home"), "bin", "java")
+            + "' -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx96m -cp '" + System.getProperty("java.class.path") + "' ";
+
+    @TempDir
+    Path folder;
+
+    private Soak.Played play(String daemon, long seed) throws Exception {
+        return new Soak(new Soak.Plan(4, 14, 1_000), JAVA + daemon, Path.of("").toAbsolutePath(), line -> { })
+                .play(seed, folder);
+    }
+
+    @Test
+    void oneSeedOverFourProcessesKeepsTheRules() throws Exception {
+        Soak.Played played = play("mulleinfront.Main serve", 2);
+        assertEquals(List.of(), played.failures());
+        assertTrue(played.rehearsal().sockets().service().tries().get("served") > 100, "it was served");
+    }
+
+    @Test
+    void aDaemonThatBreaksARuleFails() throws Exception {
+        Soak.Played played = play(BrokenDaemon.class.getName() + " answers-twice", 2);
+        assertFalse(played.failures().isEmpty());
+    }
+
+    @Test
+    void equalSeedsDrawEqualDaysAndAllCanBeRead() throws Exception {
+        for (long seed = 1; seed <= 50; seed++) {
+            String text = Drawn.soak(seed, 24, 60, 0);
+            assertEquals(text, Drawn.soak(seed, 24, 60, 0));
+            Path file = Files.writeString(folder.resolve("drawn.toml"), text);
+            assertTrue(ScenarioReader.read(file).faults().size() > 10, "seed " + seed);
+        }
+    }
+
+    @Test
+    void whatAProcessSaysThatItBrokeIsAFailure() throws Exception {
+        Files.writeString(folder.resolve("daemon-0.log"), "mulleinfront: instance=0 event=metrics answers.served=1\n");
+        assertEquals(List.of(), Soak.violations(folder));
+        String line = "mulleinfront: instance=1 event=violation check=close_unanswered request=null";
+        Files.writeString(folder.resolve("daemon-1.log"), line + "\n");
+        assertEquals(List.of("daemon-1.log: " + line), Soak.violations(folder));
+    }
+
+    @Test
+    void aPlanThatCanNotBePlayedIsRefusedByName() {
+        assertTrue(assertThrows(IllegalArgumentException.class, () -> new Soak.Plan(4, 3, 0)).getMessage()
+                .startsWith("--length"));
+        assertTrue(assertThrows(IllegalArgumentException.class, () -> new Soak.Plan(0, 60, 0)).getMessage()
+                .startsWith("--instances"));
+    }
+}
