Found by the soak: calls given up within the time for asking, lists that never begin

Causes, of the incident's class: a call could wait 3.2 s where the settings allow 2 for asking (now given up at nine tenths of it, to the first list too, also the first call after a move: 2.5 s); once overdue an instance fell back to the long window (now 1.5 s at most, unless calls had to wait).

--- a/src/main/java/mulleinfront/CallSchedule.java
+++ b/src/main/java/mulleinfront/CallSchedule.java
@@ -19,9 +19,9 @@
  * </ul>
  *
  * <p>Where the deadline and what discovery bears cannot both be kept, calls come up to {@link #MOST_CROWDING} times as
- * densely as it bears, which its queue takes for a moment; beyond that, and once the deadline has passed, the deadline
- * gives way, since denser calls would only wait longer. A call that fails after a wait says that discovery is down, or
- * bears less than is asked of it: then calls come at random, since in turn each would meet the same full queue.
+ * densely as it bears, which its queue takes for a moment; beyond that the deadline gives way, since denser calls would
+ * only wait longer. A call that fails after a wait says that discovery is down, or bears less than is asked of it: then
+ * calls come at random and no denser than it bears, since in turn each would meet the same full queue.
  *
  * <p>Where an instance is not told its number it draws its place.
  */
@@ -53,6 +53,9 @@
     private static final long MOST_PATIENCE_US = 3_200_000;
     private static final long PATIENCE_BEYOND_US = 200_000;
     private static final int MOST_DOUBLINGS = 4;
+    /** Part of the time for asking after which a call is given up, and the least that is left to one, microseconds. */
+    private static final double GIVE_UP_PART = 0.9;
+    private static final long SHORTEST_PATIENCE_US = 500_000;
 
     private final int instances;
     private final boolean few;
@@ -131,17 +134,19 @@
             return slot(now, window(now));
         }
         long apart = (long) (PERIOD_US * (EVEN + (1 - EVEN) * random.nextDouble()));
-        return Math.max(now, Math.min(calledAt + apart, now + window(now)));
+        return Math.max(now, Math.min(calledAt + apart, now + Math.max(window(now), callsOfAllUs())));
     }
 
     /**
      * How long the next call may go unanswered, microseconds: as long as calls of all may take, and longer after each that
-     * did.
+     * did; but it is given up before the time for asking is over, counted from its begin, since one that has failed leaves
+     * four times as long.
      */
     long patienceUs() {
         long all = instances * Math.min(PERIOD_US, lastAnswerUs);
         long usual = Math.min(MOST_PATIENCE_US, Math.max(LEAST_PATIENCE_US, all + PATIENCE_BEYOND_US));
-        return Math.min(MOST_PATIENCE_US, usual << Math.min(unanswered, MOST_DOUBLINGS));
+        long most = Math.min(MOST_PATIENCE_US, usual << Math.min(unanswered, MOST_DOUBLINGS));
+        return Math.min(most, Math.max(SHORTEST_PATIENCE_US, (long) (GIVE_UP_PART * deadline.askWithinUs())));
     }
 
     /** When changes may count as told that are not known, whatever became of calls. */
@@ -159,7 +164,8 @@
         long left = deadline.renewBy() - now;
         long all = callsOfAllUs();
         long spread = Math.max(all, backoff);
-        spread = left > 0 ? Math.min(spread, Math.max(left / 2, all / MOST_CROWDING)) : spread;
+        long due = left > 0 ? left / 2 : MOST_BACKOFF_US;
+        spread = Math.min(spread, Math.max(due, all / MOST_CROWDING));
         long toAsk = (long) (ASK_PART * (deadline.callBy() - now));
         return Math.max(1, toAsk > 0 ? Math.min(spread, toAsk) : Math.min(spread, LEAST_US));
     }
--- a/src/main/java/mulleinfront/ListDeadline.java
+++ b/src/main/java/mulleinfront/ListDeadline.java
@@ -72,8 +72,8 @@
         }
     }
 
-    boolean current() {
-        return current;
+    long askWithinUs() {
+        return askWithinUs;
     }
 
     /** When the next call has to have begun. */
--- a/src/main/java/mulleinfront/core/Wire.java
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -27,6 +27,29 @@
      * 2 or 3 s.
      */
     long CALL_SILENCE_US = 3_500_000;
+    /**
+     * Discovery's answer begins with a list, whatever heartbeats come before it: a call that has brought none by then has
+     * failed.
+     */
+    long FIRST_LIST_US = 4_500_000;
+    /** The most that the first call after a move may go unanswered. */
+    long MOVED_SILENCE_US = 2_500_000;
+
+    /**
+     * The same where the settings allow less time for asking: the list held counts from the call's begin.
+     *
+     * @param patienceUs how long nothing may come of the call
+     * @param askWithinUs the settings' time for asking
+     */
+    static long firstListUs(long patienceUs, long askWithinUs) {
+        return Math.min(FIRST_LIST_US, Math.max(patienceUs, askWithinUs * 9 / 10));
+    }
+
+    /** How long nothing may come of the first call where discovery, which is asked, has moved to. */
+    static long movedSilenceUs(long askWithinUs) {
+        return Math.min(MOVED_SILENCE_US, askWithinUs * 9 / 10);
+    }
+
     /** No time of its own yet. */
     long OPEN = Long.MAX_VALUE;
 
--- a/src/main/java/mulleinfront/emulator/DiscoveryClient.java
+++ b/src/main/java/mulleinfront/emulator/DiscoveryClient.java
@@ -69,7 +69,7 @@
             stop();
             world.audit.watchFailed(proxy, time.now(), false);
         }
-        watch(Wire.CALL_SILENCE_US);
+        watch(Wire.movedSilenceUs(world.scenario.rules().askWithinUs()));
     }
 
     /** Takes over a list, first for the wire and then for the module. */
@@ -98,13 +98,16 @@
         private Time.Timer patience;
         private boolean over;
         private boolean heard;
+        private boolean listed;
         /** When it was last heard of, heartbeats too, if it has fallen silent since. */
         private long heardAt;
 
         private final long patienceUs;
+        private final long calledAt;
 
         private Watch(long patienceUs) {
             this.patienceUs = patienceUs;
+            this.calledAt = time.now();
             toldTo = version;
         }
 
@@ -129,8 +132,13 @@
 
         @Override
         void begin() {
+            boolean first = !heard;
             heard = true;
             quiet();
+            if (first) {
+                patience = time.after(Wire.firstListUs(patienceUs, world.scenario.rules().askWithinUs())
+                        - (time.now() - calledAt), this::fail);
+            }
         }
 
         private void quiet() {
@@ -151,6 +159,10 @@
         @Override
         void hear(Registry.News news) {
             if (!over && watch == this) {
+                if (!listed) {
+                    quiet();
+                    listed = true;
+                }
                 take(news, news.full() ? Source.FULL : Source.DELTA);
                 world.audit.watching(proxy);
             }
--- a/src/main/java/mulleinfront/emulator/Drawn.java
+++ b/src/main/java/mulleinfront/emulator/Drawn.java
@@ -112,6 +112,8 @@
     /** Troubles of a soak begin this far from its start and its end, and its list's troubles this far from each other. */
     private static final double SOAK_EDGE_S = 4;
     private static final double LISTS_APART_S = 8;
+    /** Calls that are still to be spoilt are let go after this. */
+    private static final double SPOILT_S = 7;
     /** Time between the beginnings of a soak's other troubles, on the average. */
     private static final double TROUBLE_EVERY_S = 1.6;
 
@@ -295,7 +297,8 @@
             case "discovery-down", "discovery-silent" -> line("for = \"%s\"", time(between(5e5, 6e6)));
             case "discovery-late" -> line("by = [\"0ms\", \"%s\"]%nfor = \"%s\"", time(between(1e5, 8e5)),
                     time(between(1e6, 5e6)));
-            case "discovery-refuses", "discovery-cuts", "discovery-ends" -> line("of-each = %d", 1 + chance.below(2));
+            case "discovery-refuses", "discovery-cuts", "discovery-ends" -> line("of-each = %d%nfor = \"%s\"", 1 + chance.below(2),
+                    time(SPOILT_S * 1e6));
             default -> { }
         }
     }
--- a/src/main/java/mulleinfront/emulator/FaultReader.java
+++ b/src/main/java/mulleinfront/emulator/FaultReader.java
@@ -209,8 +209,7 @@
 
     private static boolean lasts(Kind kind) {
         return switch (kind) {
-            case PAUSE, DRAIN, RESTART, KILL_PROXY, END_PROXY, PAUSE_PROXY, RELOAD_PROXY, CLOCK, BURST, DISCOVERY_REFUSES,
-                    DISCOVERY_CUTS, DISCOVERY_ENDS -> false;
+            case PAUSE, DRAIN, RESTART, KILL_PROXY, END_PROXY, PAUSE_PROXY, RELOAD_PROXY, CLOCK, BURST -> false;
             default -> true;
         };
     }
--- a/src/main/java/mulleinfront/emulator/Script.java
+++ b/src/main/java/mulleinfront/emulator/Script.java
@@ -48,9 +48,12 @@
             case DISCOVERY_SHUFFLE ->
                     both(f, () -> world.registry.shuffle((int) f.factor()), () -> world.registry.shuffle(0));
             case DISCOVERY_CROWD -> both(f, () -> world.registry.crowd(f.factor()), () -> world.registry.crowd(0));
-            case DISCOVERY_REFUSES -> world.registry.refuseCalls((int) f.factor());
-            case DISCOVERY_CUTS -> world.registry.cutLists((int) f.factor());
-            case DISCOVERY_ENDS -> world.registry.endInsteadOfTelling((int) f.factor());
+            case DISCOVERY_REFUSES -> both(f, () -> world.registry.refuseCalls((int) f.factor()),
+                    () -> world.registry.refuseCalls(0));
+            case DISCOVERY_CUTS -> both(f, () -> world.registry.cutLists((int) f.factor()),
+                    () -> world.registry.cutLists(0));
+            case DISCOVERY_ENDS -> both(f, () -> world.registry.endInsteadOfTelling((int) f.factor()),
+                    () -> world.registry.endInsteadOfTelling(0));
             case WATCHES_SILENT -> world.registry.watchesFallSilent();
             case WATCHES_RESET -> world.registry.watchesEnd();
             case KILL_PROXY -> proxies(f).forEach(p -> within(f, () -> p.kill(f.drainUs())));
--- a/src/main/java/mulleinfront/emulator/ToldDeadlines.java
+++ b/src/main/java/mulleinfront/emulator/ToldDeadlines.java
@@ -5,9 +5,10 @@
 
 /**
  * From when a change that discovery has counts as told to a client proxy, though it has not been told it. An open watch
- * is told when it is written to. One without a watch counts as told the settings' time for asking after the change, its
- * last call or its start (four times as long if that call failed); one that has not called since its watch ended 2 s after
- * that end; and everybody 6 s after discovery had the change and could be reached, or after the watch fell silent.
+ * is told when it is written to. One without a watch counts as told the settings' time for asking after the change, the
+ * end of its watch, its last call or its start (four times as long if that call failed); one that has not called since its
+ * watch ended 2 s after that end; and everybody 6 s after discovery had the change and could be reached, or after the watch
+ * fell silent.
  */
 final class ToldDeadlines {
     /** Told at the latest so long after discovery had a change and could be reached, whatever calls failed. */
@@ -29,8 +30,9 @@
         private boolean failed;
         private long calledAt;
         private long silentSince = NEVER;
-        /** When its watch ended, if it has not called since. */
-        private long endedAt = NEVER;
+        /** When its last watch ended, and whether it has called since. */
+        private long endedAt = -NEVER;
+        private boolean calledSince = true;
         /** It can reach discovery itself, and runs. */
         private boolean reaches = true;
         private long reachesSince;
@@ -56,7 +58,7 @@
     void called(int proxy, long now) {
         Told told = of(proxy);
         told.calledAt = now;
-        told.endedAt = NEVER;
+        told.calledSince = true;
     }
 
     void watching(int proxy) {
@@ -80,7 +82,10 @@
     void ended(int proxy, long now, boolean overloaded) {
         Told told = of(proxy);
         told.failed = !told.watching;
-        told.endedAt = told.watching ? now : told.endedAt;
+        if (told.watching) {
+            told.endedAt = now;
+            told.calledSince = false;
+        }
         told.watching = false;
         if (overloaded) {
             told.reachesSince = now;
@@ -110,8 +115,9 @@
         if (told.watching) {
             return Math.max(since, told.silentSince) + REACHABLE_US;
         }
-        long asked = Math.max(since, told.calledAt) + askWithinUs * (told.failed ? AFTER_FAILURE : 1);
-        long ended = told.endedAt == NEVER ? NEVER : Math.max(since, told.endedAt) + WATCH_ENDED_US;
+        long from = Math.max(since, Math.max(told.calledAt, told.endedAt));
+        long asked = from + askWithinUs * (told.failed ? AFTER_FAILURE : 1);
+        long ended = told.calledSince ? NEVER : from + WATCH_ENDED_US;
         return Math.min(since + REACHABLE_US, Math.min(asked, ended));
     }
 
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -49,10 +49,6 @@
     private static final long SILENCE_MS = Wire.SILENCE_US / 1000;
     /** News counts as told 4 s after a move: within that time a silent new address is asked again. */
     private static final long MOVED_SILENCE_MS = 1_800;
-    /** The same where it is asked: it answers in turn. */
-    private static final long MOVED_TURN_MS = 2_500;
-    /** An answer begins with a list, whatever heartbeats come before it: one that has none by then has failed. */
-    private static final long FIRST_LIST_MS = 4_500;
     /** A list that has begun goes on: nothing of it for so long is its end. */
     private static final long STALLED_MS = 1_500;
     private static final int CONNECT_MS = 1_000;
@@ -90,6 +86,7 @@
     private boolean heardAny;
     private Watch watch;
     private final boolean pushed;
+    private final long askWithinUs;
     /** It is elsewhere, has not been asked there yet, and was where it is asked first moved from at that time. */
     private boolean moved;
     private long movedNanos;
@@ -103,6 +100,7 @@
         this.counts = counts;
         this.address = config.discovery();
         this.pushed = !config.settings().subscribe();
+        this.askWithinUs = config.settings().contract().askWithinUs();
         this.upstream = upstream;
         this.listener = listener;
         config.zones().forEach(name -> zones.put(name, zones.size()));
@@ -167,7 +165,7 @@
         stop();
         version = -1;
         order.forget();
-        ask(pushed ? MOVED_SILENCE_MS : MOVED_TURN_MS, movedNanos);
+        ask(pushed ? MOVED_SILENCE_MS : TimeUnit.MICROSECONDS.toMillis(Wire.movedSilenceUs(askWithinUs)), movedNanos);
     }
 
     /** @param movedAtNanos when discovery was moved, if this is the first call since; else 0 */
@@ -269,7 +267,7 @@
                 if (!heard && watch == this) {
                     exceptionCaught(ctx, new IOException("no list came"));
                 }
-            }, FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+            }, Wire.firstListUs(TimeUnit.MILLISECONDS.toMicros(silence.callMs), askWithinUs), TimeUnit.MICROSECONDS);
             String after = version >= 0 ? "&after=" + version : "";
             ctx.writeAndFlush(Unpooled.copiedBuffer("GET /api/targets?watch=1" + after + " HTTP/1.1\r\n"
                     + "Host: discovery\r\n\r\n", StandardCharsets.US_ASCII));
