Kit: a client that left before its request counted as written has left

Read: while the world catches up, a client's leaving that is due is judged before the deferred word that its request was written; the request is then taken and never ends. Stage remembers who has left.

--- a/src/main/java/mulleinfront/emulator/Stage.java
+++ b/src/main/java/mulleinfront/emulator/Stage.java
@@ -86,6 +86,7 @@
         private final Clients.Try t;
         private final int proxy;
         private int attempts;
+        private boolean left;
         private Request out;
 
         Sent(Clients.Try t, int proxy) {
@@ -219,7 +220,9 @@
 
             @Override
             void gone(Clients.Try t) {
-                if (tries.containsKey(t.call.id())) {
+                Sent s = tries.get(t.call.id());
+                if (s != null) {
+                    s.left = true;
                     world.audit.left(number, t.call.id(), world.queue.now());
                     outside.leave(number, t.call.id());
                 }
@@ -235,6 +238,10 @@
         if (s != null) {
             world.audit.taken(s.proxy, id, s.t.call.classIndex(), world.queue.now(), s.t.deadlineAt);
             world.account.taken(id);
+            if (s.left) {
+                // The word that it was written comes behind what was due while that was being done.
+                world.audit.left(s.proxy, id, world.queue.now());
+            }
         }
     }
 
