Discovery's decoding of answers in files of its own: AnswerSilence, ListDecoder, AnswerBody

Discovery.java had grown to 470 lines with four nested handlers; one of them hid java.util.Objects. Behaviour as it was.

--- /dev/null
+++ b/src/main/java/mulleinfront/proxy/AnswerSilence.java
@@ -0,0 +1,59 @@
+package mulleinfront.proxy;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The time for which nothing may come: a call may wait for its turn, and what has begun to answer has a heartbeat.
+ * It stands for the call and then for the watch, with a timer of its own each.
+ */
+final class AnswerSilence extends ChannelInboundHandlerAdapter {
+    private final long callMs;
+    private ReadTimeoutHandler timer;
+    private final Runnable onAnswer;
+    private boolean answered;
+    private long heardNanos;
+
+    /** @param onAnswer run when the first bytes of an answer's body have come */
+    AnswerSilence(long callMs, Runnable onAnswer) {
+        this.callMs = callMs;
+        this.onAnswer = onAnswer;
+    }
+
+    /** How long the call may go unanswered, milliseconds. */
+    long callMs() {
+        return callMs;
+    }
+
+    /** Whether anything of an answer's body came, a heartbeat too. */
+    boolean answered() {
+        return answered;
+    }
+
+    long quietUs() {
+        return (System.nanoTime() - heardNanos) / 1000;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) {
+        timer = new ReadTimeoutHandler(callMs, TimeUnit.MILLISECONDS);
+        ctx.pipeline().addFirst(timer);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object msg) {
+        heardNanos = System.nanoTime();
+        ctx.fireChannelRead(msg);
+    }
+
+    /** Something of the body has come. */
+    void begun(ChannelHandlerContext ctx) {
+        if (!answered) {
+            answered = true;
+            onAnswer.run();
+            ctx.pipeline().replace(timer, null, new ReadTimeoutHandler(Discovery.SILENCE_MS, TimeUnit.MILLISECONDS));
+        }
+    }
+}
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -6,23 +6,14 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.MessageToMessageDecoder;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.json.JsonObjectDecoder;
-import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.NetUtil;
-import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -46,13 +37,10 @@
  * failed, once; when to ask again is the module's to say, since discovery has little capacity.
  */
 final class Discovery {
-    private static final long SILENCE_MS = Wire.SILENCE_US / 1000;
+    static final long SILENCE_MS = Wire.SILENCE_US / 1000;
     /** News counts as told 4 s after a move: within that time a silent new address is asked again. */
     private static final long MOVED_SILENCE_MS = 1_800;
-    /** A list that has begun goes on: nothing of it for so long is its end. */
-    private static final long STALLED_MS = 1_500;
     private static final int CONNECT_MS = 1_000;
-    private static final int LONGEST_LIST = 4 * 1024 * 1024;
 
     /** Told of lists, and of calls and watches that failed. */
     interface Listener {
@@ -235,7 +223,7 @@
         private Channel channel;
         private final long call = ++calls;
         private final long beganNanos = System.nanoTime();
-        private final Silence silence;
+        private final AnswerSilence silence;
         private final long movedAtNanos;
         private boolean connected;
         private boolean heard;
@@ -244,7 +232,7 @@
 
         Watch(long patienceMs, long movedAtNanos) {
             this.movedAtNanos = movedAtNanos;
-            this.silence = new Silence(patienceMs, () -> log.callAnswered(call, sinceBeginMs()));
+            this.silence = new AnswerSilence(patienceMs, () -> log.callAnswered(call, sinceBeginMs()));
             log.callBegan(call, address, version);
             counts.add(Metrics.Discovery.CALL);
         }
@@ -254,7 +242,7 @@
                 @Override
                 protected void initChannel(SocketChannel ch) {
                     channel = ch;
-                    ch.pipeline().addLast(silence, new HttpResponseDecoder(), new Body(), new Objects(),
+                    ch.pipeline().addLast(silence, new HttpResponseDecoder(), new AnswerBody(), new ListDecoder(),
                             Watch.this);
                 }
             };
@@ -267,7 +255,7 @@
                 if (!heard && watch == this) {
                     exceptionCaught(ctx, new IOException("no list came"));
                 }
-            }, Wire.firstListUs(TimeUnit.MILLISECONDS.toMicros(silence.callMs), askWithinUs), TimeUnit.MICROSECONDS);
+            }, Wire.firstListUs(TimeUnit.MILLISECONDS.toMicros(silence.callMs()), askWithinUs), TimeUnit.MICROSECONDS);
             String after = version >= 0 ? "&after=" + version : "";
             ctx.writeAndFlush(Unpooled.copiedBuffer("GET /api/targets?watch=1" + after + " HTTP/1.1\r\n"
                     + "Host: discovery\r\n\r\n", StandardCharsets.US_ASCII));
@@ -328,127 +316,4 @@
             }
         }
     }
-
-    /**
-     * The time for which nothing may come: a call may wait for its turn, and what has begun to answer has a heartbeat.
-     * It stands for the call and then for the watch, with a timer of its own each.
-     */
-    private static final class Silence extends ChannelInboundHandlerAdapter {
-        private final long callMs;
-        private ReadTimeoutHandler timer;
-        private final Runnable onAnswer;
-        private boolean answered;
-        private long heardNanos;
-
-        /** @param onAnswer run when the first bytes of an answer's body have come */
-        Silence(long callMs, Runnable onAnswer) {
-            this.callMs = callMs;
-            this.onAnswer = onAnswer;
-        }
-
-        /** Whether anything of an answer's body came, a heartbeat too. */
-        boolean answered() {
-            return answered;
-        }
-
-        long quietUs() {
-            return (System.nanoTime() - heardNanos) / 1000;
-        }
-
-        @Override
-        public void handlerAdded(ChannelHandlerContext ctx) {
-            timer = new ReadTimeoutHandler(callMs, TimeUnit.MILLISECONDS);
-            ctx.pipeline().addFirst(timer);
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object msg) {
-            heardNanos = System.nanoTime();
-            ctx.fireChannelRead(msg);
-        }
-
-        /** Something of the body has come. */
-        void begun(ChannelHandlerContext ctx) {
-            if (!answered) {
-                answered = true;
-                onAnswer.run();
-                ctx.pipeline().replace(timer, null, new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS));
-            }
-        }
-    }
-
-    /**
-     * Lists, however they are laid out: on one line or indented over many, several in a read or one in pieces. White
-     * space between two is the heartbeat. One that has begun and does not get to its end is silence too, whatever
-     * white space follows.
-     */
-    private static final class Objects extends JsonObjectDecoder {
-        private Future<?> patience;
-        private Future<?> stalled;
-
-        Objects() {
-            super(LONGEST_LIST);
-        }
-
-        @Override
-        protected ByteBuf extractObject(ChannelHandlerContext ctx, ByteBuf buffer, int index, int length) {
-            ended();
-            return super.extractObject(ctx, buffer, index, length);
-        }
-
-        @Override
-        public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
-            if (actualReadableBytes() > 0) {
-                patience = patience == null ? failsAfter(ctx, SILENCE_MS) : patience;
-                cancel(stalled);
-                stalled = failsAfter(ctx, STALLED_MS);
-            }
-            super.channelReadComplete(ctx);
-        }
-
-        @Override
-        protected void handlerRemoved0(ChannelHandlerContext ctx) {
-            ended();
-        }
-
-        private void ended() {
-            cancel(patience);
-            patience = null;
-            cancel(stalled);
-            stalled = null;
-        }
-
-        private static Future<?> failsAfter(ChannelHandlerContext ctx, long delayMs) {
-            return ctx.executor().schedule(() -> {
-                ctx.fireExceptionCaught(new IOException("a list did not get to its end"));
-            }, delayMs, TimeUnit.MILLISECONDS);
-        }
-
-        private static void cancel(Future<?> timer) {
-            if (timer != null) {
-                timer.cancel(false);
-            }
-        }
-    }
-
-    /** Hands on what a watch's answer holds; any answer but 200, or its end, is the end of the watch. */
-    private static final class Body extends MessageToMessageDecoder<HttpObject> {
-        Body() {
-            super(HttpObject.class);
-        }
-
-        @Override
-        protected void decode(ChannelHandlerContext ctx, HttpObject in, List<Object> out) throws IOException {
-            if (in.decoderResult().isFailure() || in instanceof HttpResponse r && r.status().code() != 200) {
-                throw new IOException("discovery refused the watch");
-            }
-            if (in instanceof HttpContent content && content.content().isReadable()) {
-                ctx.pipeline().get(Silence.class).begun(ctx);
-                out.add(content.content().retain());
-            }
-            if (in instanceof LastHttpContent) {
-                ctx.close();
-            }
-        }
-    }
 }
