--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -24,6 +24,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
@@ -260,7 +261,8 @@
             try {
                 made = new Connection(host);
             } catch (ChannelException noDescriptor) {
-                finish(Outcome.CONNECT_ERROR, null);
+                // It says nothing of the host.
+                finish(Outcome.IGNORED, null);
                 return;
             }
             ChannelFuture up = bootstrap.clone().channelFactory(() -> made.channel)
@@ -277,7 +279,7 @@
                 } else if (resetAtOnce(f.cause()) && fresh < Wire.MOST_FRESH) {
                     connect();
                 } else {
-                    finish(Outcome.CONNECT_ERROR, null);
+                    finish(ownFailure(f.cause()) ? Outcome.IGNORED : Outcome.CONNECT_ERROR, null);
                 }
             });
         }
@@ -390,9 +392,14 @@
             finish(written.isSuccess() ? Outcome.RESET : Outcome.CONNECT_ERROR, null);
         }
 
+        /** Whether this machine had no address or port left to connect from: it says nothing of the host. */
+        private static boolean ownFailure(Throwable cause) {
+            return cause instanceof BindException;
+        }
+
         /** Whether something is there that would not have this connection: then the host is not away. */
         private static boolean resetAtOnce(Throwable cause) {
-            return cause instanceof SocketException && !(cause instanceof ConnectException)
+            return cause instanceof SocketException && !(cause instanceof ConnectException) && !ownFailure(cause)
                     && !(cause instanceof NoRouteToHostException);
         }
 
