--- a/src/test/java/mulleinfront/core/CoreTest.java
+++ b/src/test/java/mulleinfront/core/CoreTest.java
@@ -256,6 +256,7 @@
     @Test
     void anUnsafeRequestThatMayHaveRunIsNotSentAgain() {
         again(UNSAFE, "i");
+        attempts.get(1).write();
         said("ended 0 FAILED", "start r/1@i", "ended 1 IGNORED");
         assertEquals(1, metrics.guard.prevented(RuleGuard.Check.REPEAT_UNSAFE));
         assertEquals(0, metrics.guard.violations());
@@ -267,6 +268,7 @@
                 new Endpoint("i", 1, 0, 0, Availability.READY, 1, 0)));
         log.clear();
         again(KEYED, "i");
+        attempts.get(1).write();
         said("ended 0 FAILED", "start r/1@i", "ended 1 IGNORED");
         assertEquals(1, metrics.guard.prevented(RuleGuard.Check.REPEAT_OUTSIDE_GROUP));
     }
--- a/src/test/java/mulleinfront/proxy/ClientChannelTest.java
+++ b/src/test/java/mulleinfront/proxy/ClientChannelTest.java
@@ -20,8 +20,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.parallel.Isolated;
 
-/** The listening socket's end. */
+/** The listening socket's end. Alone: it counts the descriptors of the whole process, those of other tests too. */
+@Isolated
 class ClientChannelTest {
     private static int descriptors() {
         return new File("/proc/self/fd").list().length;
