--- a/src/main/java/mulleinfront/kit/FleetTimeline.java
+++ b/src/main/java/mulleinfront/kit/FleetTimeline.java
@@ -147,6 +147,10 @@
         long lookUs = boundUs / LOOKS;
         long nextLook = lookUs;
         for (Event e : all) {
+            if (e.atMs() > untilMs) {
+                // All are told to end then, and what they say of that is no belief to be judged.
+                break;
+            }
             long at = (e.atMs() - start) * 1_000;
             for (; nextLook < at; nextLook += lookUs) {
                 now = nextLook;
--- a/src/test/java/mulleinfront/kit/FleetProcessesTest.java
+++ b/src/test/java/mulleinfront/kit/FleetProcessesTest.java
@@ -91,6 +91,7 @@
                 period = "50ms"
                 """);
         assertEquals(List.of(), r.sockets().fleet().breaches());
+        whatIsSaidAfterTheEndIsNotJudged();
         // One line of a log is not as it was: the same judge, the same processes.
         FleetTimeline timeline = new FleetTimeline(3, 1_000_000);
         Path lie = folder.resolve("lie.json");
@@ -104,4 +105,28 @@
         assertTrue(judge.breaches().stream().anyMatch(b -> b.rule() == FleetJudge.Rule.CALLED_FAILED),
                 judge.breaches().toString());
     }
+
+    /** All are told to end at the end: that others have left, and a line long after it, may stand in the logs too. */
+    private void whatIsSaidAfterTheEndIsNotJudged() throws Exception {
+        List<String> lines = Files.readAllLines(folder.resolve("fleet-n1.json"));
+        String alive = said(1, "\"to\":\"alive\"").get(0);
+        String timestamp = FleetTimeline.fields(alive).get("timestamp");
+        long end = System.currentTimeMillis();
+        for (int member = 0; member < 3; member++) {
+            for (String left : said(member, "\"to\":\"left\"")) {
+                end = Math.min(end, Long.parseLong(FleetTimeline.fields(left).get("timestamp")) - 1);
+            }
+        }
+        for (long at : new long[] {end + 1_000, end + 10_000}) {
+            lines.add(alive.replace("\"to\":\"alive\"", "\"to\":\"left\"").replace(timestamp, "" + at));
+        }
+        Path longer = folder.resolve("longer.json");
+        Files.write(longer, lines);
+        FleetTimeline timeline = new FleetTimeline(3, 1_000_000);
+        timeline.read(0, folder.resolve("fleet-n0.json"));
+        timeline.read(1, longer);
+        timeline.read(2, folder.resolve("fleet-n2.json"));
+        assertTrue(timeline.judged(end).breaches().stream().noneMatch(b -> b.toString().contains(" left")),
+                "what came after the end");
+    }
 }
