--- a/review/common/Record.java
+++ b/review/common/Record.java
@@ -1,6 +1,5 @@
 package review;
 
-import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -12,8 +11,33 @@
 
     private Record() {}
 
-    static synchronized void open(Path file) throws IOException {
-        out = new PrintWriter(Files.newBufferedWriter(file));
+    /** The run of a case. */
+    interface Run {
+        /**
+         * Plays the case.
+         *
+         * @param trouble whether with the disruption
+         * @return 1 if the rule was broken, 0 if it held, 2 if the case couldn't run
+         */
+        int play(boolean trouble) throws Exception;
+    }
+
+    /**
+     * Plays a case, with the disruption unless {@code TROUBLE} is 0, and ends this process with its result; with 2 after
+     * any error.
+     */
+    static void main(Path file, Run run) {
+        int exit = 2;
+        try {
+            out = new PrintWriter(Files.newBufferedWriter(file));
+            exit = run.play(!"0".equals(System.getenv("TROUBLE")));
+            say("exit code %d", exit);
+            out.close();
+        } catch (Throwable error) {
+            exit = 2;
+            System.out.println("could not run: " + error);
+        }
+        System.exit(exit);
     }
 
     /** Milliseconds since the start of the driver. */
@@ -32,8 +56,4 @@
         line("%s", text);
         System.out.println(text);
     }
-
-    static synchronized void close() {
-        out.close();
-    }
 }
