--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -36,8 +36,15 @@
     private static final long BALANCER_MARGIN_US = 10_000;
     /** A final answer later than this after the client's deadline violates an invariant: the request is lost. */
     private static final long ANSWER_GRACE_US = 500_000;
+    /**
+     * Time before a streamed response would be lost at which it is cut off, so that its client sees in time that it is
+     * incomplete, even if the event loop stalls.
+     */
+    private static final long CUT_OFF_MARGIN_US = 250_000;
     /** Longest time for which a request may be read while its attempt is being sent. */
     private static final long MAX_READING_US = 600_000_000;
+    /** Stands for no time since which bytes of a request may be unread. */
+    private static final long ALL_READ = Long.MAX_VALUE;
 
     private final Settings settings;
     private final Time time;
@@ -75,7 +82,9 @@
         private final RequestClass requestClass;
         private final Q message;
         private long attemptDeadline;
+        /** Gives the final answer at the deadline, or cuts off a streamed response some time after it. */
         private Time.Timer deadlineTimer;
+
         private long deadlineAt;
         private Wire.Attempt activeAttempt;
         private int activeAttemptNumber;
@@ -93,8 +102,14 @@
         private long mayHaveRunSentAt;
 
         private boolean answered;
+        /** Whether the client left before its answer was complete. */
+        private boolean clientGone;
         /** Whether the request is still being read. */
         private boolean reading;
+        /** Since when bytes of the request may have arrived that are not read; {@link #ALL_READ} if there are none. */
+        private long unreadSince = ALL_READ;
+        /** When a request that is still being read fails. */
+        private long readingUntil;
         /** Time from the last byte of the request to the final answer, at most. */
         private long timeoutUs;
         /** How long the client waits, at most the deadline of the request class. */
@@ -105,6 +120,8 @@
         private long attemptTimeoutUs;
         /** Whether the response has started. */
         private boolean responseStarted;
+        /** Whether the streamed response has been cut off because it was overdue. */
+        private boolean cutOff;
         /**
          * Whether the balancer has been notified that the attempt in progress streams to or from the client. From then
          * on the balancer does not cancel the attempt.
@@ -287,23 +304,50 @@
     // ---- requests ------------------------------------------------------------------------------------
 
     /**
-     * Sets the time by which every request has its final answer, microseconds on the core's clock. It applies to open
-     * requests and to those accepted from now on.
+     * Sets the time by which every request has its final answer, microseconds on the core's clock, and every streamed
+     * response has ended. It applies to open requests and to those accepted from now on.
      */
     public void setShutdownDeadline(long deadline) {
         shutdownDeadline = deadline;
         for (RequestHandle<Q, A> handle : requestsById.values()) {
-            if (!handle.answered && handle.deadlineAt > deadline) {
+            if (isUnfinished(handle)) {
                 handle.attemptDeadline = Math.min(handle.attemptDeadline, deadline);
-                handle.deadlineTimer.cancel();
-                startDeadlineTimer(handle, deadline - time.now());
+                setDeadline(handle, Math.min(handle.deadlineAt, deadline));
             }
         }
     }
 
-    private void startDeadlineTimer(RequestHandle<Q, A> handle, long delayUs) {
-        handle.deadlineAt = time.now() + delayUs;
-        handle.deadlineTimer = time.after(delayUs, () -> deadlineExpired(handle));
+    /** Whether the client still waits for the final answer, or for the end of a streamed one. */
+    private static boolean isUnfinished(RequestHandle<?, ?> handle) {
+        return handle.responseStarted ? handle.activeAttempt != null && !handle.clientGone : !handle.answered;
+    }
+
+    /**
+     * Sets the deadline of an unfinished request and its timer. The start of a streamed response does not end the
+     * deadline, since the response is complete only with its last byte: what continues after
+     * {@link #streamedResponseDueAt} is cut off, whatever progress it makes.
+     */
+    private void setDeadline(RequestHandle<Q, A> handle, long at) {
+        handle.deadlineAt = at;
+        if (handle.deadlineTimer != null) {
+            handle.deadlineTimer.cancel();
+        }
+        handle.deadlineTimer = handle.responseStarted
+                ? time.after(streamedResponseDueAt(handle) - time.now(), () -> cutOff(handle))
+                : time.after(at - time.now(), () -> deadlineExpired(handle));
+    }
+
+    /** Returns when a streamed response has to be complete, microseconds on the core's clock. */
+    public long streamedResponseDueAt(RequestHandle<Q, A> handle) {
+        return Math.min(handle.deadlineAt + ANSWER_GRACE_US - CUT_OFF_MARGIN_US, shutdownDeadline);
+    }
+
+    /** Cancels the attempt of a streamed response that is overdue: its client is told that it is incomplete. */
+    private void cutOff(RequestHandle<Q, A> handle) {
+        if (handle.activeAttempt != null) {
+            handle.cutOff = true;
+            handle.activeAttempt.cancel();
+        }
     }
 
     /** Returns whether a request of this id is open. The id may not be used again before the request has ended. */
@@ -399,32 +443,46 @@
         handle.budgetUs = budgetUs;
         handle.answerDueAt = reading ? Long.MAX_VALUE : receivedAt + deadlineUs + ANSWER_GRACE_US;
         handle.deadlineUs = deadlineUs;
-        startDeadlineTimer(
-                handle, Math.min(reading ? MAX_READING_US : receivedAt + timeoutUs - time.now(), untilShutdownUs));
+        handle.readingUntil = time.now() + MAX_READING_US;
+        setDeadline(handle, Math.min(reading ? handle.readingUntil : receivedAt + timeoutUs, shutdownDeadline));
         handler.opened(handle);
         run(() -> balancer.onRequest(time.now(), handle.request));
     }
 
     /**
-     * Returns when the request's deadline timer fires, microseconds on the core's clock, even if the response has
-     * started and the timer has been cancelled.
+     * Handles a pause in reading a request, because its endpoint does not take more of the body. The last byte may
+     * arrive from now on without being read, so the client's deadline counts from here.
      */
-    public long deadlineTimerAt(RequestHandle<Q, A> handle) {
-        return handle.deadlineAt;
+    public void readingPaused(RequestHandle<Q, A> handle) {
+        if (handle.reading && handle.unreadSince == ALL_READ && isUnfinished(handle)) {
+            handle.unreadSince = time.now();
+            setDeadline(handle, Math.min(handle.deadlineAt, handle.unreadSince + handle.timeoutUs));
+        }
     }
 
-    /** Handles the last byte of a request: the client's deadline counts from now. */
+    /** Handles that all bytes that have arrived of a request are read, and its last one is not among them. */
+    public void readingCaughtUp(RequestHandle<Q, A> handle) {
+        if (handle.reading && handle.unreadSince != ALL_READ && isUnfinished(handle)) {
+            handle.unreadSince = ALL_READ;
+            setDeadline(handle, Math.min(handle.readingUntil, shutdownDeadline));
+        }
+    }
+
+    /** Handles the last byte of a request: the client's deadline counts from its arrival. */
     public void requestComplete(RequestHandle<Q, A> handle) {
-        if (!handle.reading || handle.answered) {
+        if (!handle.reading || !isUnfinished(handle)) {
             return;
         }
         handle.reading = false;
-        handle.answerDueAt = time.now() + handle.deadlineUs + ANSWER_GRACE_US;
-        long untilShutdownUs = Math.max(1, shutdownDeadline - time.now());
-        long remainingUs = Math.min(handle.budgetUs, untilShutdownUs);
-        handle.attemptDeadline = time.now() + remainingUs;
-        handle.deadlineTimer.cancel();
-        startDeadlineTimer(handle, Math.min(handle.timeoutUs, untilShutdownUs));
+        long now = time.now();
+        long receivedAt = Math.min(now, handle.unreadSince);
+        handle.answerDueAt = receivedAt + handle.deadlineUs + ANSWER_GRACE_US;
+        setDeadline(handle, Math.min(receivedAt + handle.timeoutUs, shutdownDeadline));
+        if (handle.responseStarted) {
+            return;
+        }
+        handle.attemptDeadline = Math.max(now + 1, Math.min(receivedAt + handle.budgetUs, shutdownDeadline));
+        long remainingUs = handle.attemptDeadline - now;
         if (handle.activeAttempt != null) {
             handle.activeAttempt.setTimeout(
                     handle.attemptTimeoutUs == 0 ? remainingUs : Math.min(remainingUs, handle.attemptTimeoutUs));
@@ -440,8 +498,9 @@
      * may cancel the attempt in progress; an attempt that streams to or from the client is cancelled in any case.
      */
     public void abandoned(RequestHandle<Q, A> handle) {
-        if (!handle.answered) {
+        if (!handle.answered || handle.responseStarted) {
             metrics.answers.add(Metrics.Answer.CLIENT_GONE);
+            handle.clientGone = true;
         }
         markAnswered(handle);
         notifyAbandoned(handle);
@@ -638,9 +697,9 @@
         if (handle.answered) {
             return false;
         }
-        metrics.answers.add(Metrics.Answer.SERVED);
-        markAnswered(handle);
+        handle.answered = true;
         handle.responseStarted = true;
+        setDeadline(handle, handle.deadlineAt);
         handle.mayHaveRun = true;
         handle.mayHaveRunEndpoint = handle.activeEndpoint;
         handle.handler.responseStarted(answer);
@@ -661,6 +720,8 @@
             handle.mayHaveRunEndpoint = handle.activeEndpoint;
         }
         if (handle.responseStarted) {
+            handle.deadlineTimer.cancel();
+            countStreamedAnswer(handle, outcome);
             run(() -> scheduleRemoval(handle));
         } else if (outcome == Outcome.OK && !handle.answered) {
             checkAnswerDue(handle);
@@ -672,6 +733,16 @@
         reportAttemptEnd(handle, number, sentAt, outcome);
     }
 
+    private void countStreamedAnswer(RequestHandle<Q, A> handle, Outcome outcome) {
+        if (handle.clientGone) {
+            return;
+        }
+        metrics.answers.add(
+                outcome == Outcome.OK
+                        ? Metrics.Answer.SERVED
+                        : handle.cutOff ? Metrics.Answer.CUT_OFF : Metrics.Answer.BROKEN_OFF);
+    }
+
     private void reportAttemptEnd(RequestHandle<Q, A> handle, int number, long sentAt, Outcome outcome) {
         boolean requestDone = handle.answered;
         handle.lastOutcome = outcome;
--- a/src/main/java/mulleinfront/core/Metrics.java
+++ b/src/main/java/mulleinfront/core/Metrics.java
@@ -14,6 +14,10 @@
         FAILED,
         /** The deadline timer fired before the balancer had ended the request. */
         TIME_UP,
+        /** A streamed response went on beyond its deadline and was cut off. */
+        CUT_OFF,
+        /** A streamed response broke off at its endpoint. */
+        BROKEN_OFF,
         CLIENT_GONE
     }
 
--- a/src/main/java/mulleinfront/core/ResponseHandler.java
+++ b/src/main/java/mulleinfront/core/ResponseHandler.java
@@ -25,7 +25,8 @@
 
     /**
      * An endpoint's response has started and its rest will be streamed. This is the final answer; the rest does not
-     * pass through the core. It is called only for wires that call {@link Wire.AttemptListener#responseStarted}.
+     * pass through the core, which cancels the attempt if it has not ended by {@link Core#streamedResponseDueAt}. It is
+     * called only for wires that call {@link Wire.AttemptListener#responseStarted}.
      *
      * @param answer the part of the response received so far
      */
--- a/src/main/java/mulleinfront/core/Wire.java
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -75,8 +75,8 @@
         default void loadReported(double inFlight) {}
 
         /**
-         * Called when the response has started and its rest will be streamed. The attempt has no timeout from then on
-         * and continues until {@link #ended}.
+         * Called when the response has started and its rest will be streamed. The attempt has no timeout of its own
+         * from then on; it continues until {@link #ended} or until the core cancels it.
          *
          * @param answer the part received so far
          * @return whether the response is accepted; if not, the wire must cancel the attempt
--- a/src/main/java/mulleinfront/proxy/ClientChannel.java
+++ b/src/main/java/mulleinfront/proxy/ClientChannel.java
@@ -33,6 +33,8 @@
     private ByteBuf readAhead;
 
     private boolean readScheduled;
+    /** Whether the last read left nothing to be read. */
+    private boolean readAllArrived = true;
 
     private ClientChannel(Channel parent, SocketChannel socket, ByteBuffer readBuffer, IntConsumer onBufferedBytes) {
         super(parent, socket);
@@ -63,6 +65,11 @@
         return !closedByClient() && readAhead != null;
     }
 
+    /** Whether the pipeline's last read has read all bytes that had arrived by then. */
+    boolean readAllArrived() {
+        return readAllArrived;
+    }
+
     private void appendReadAhead(ByteBuffer data) {
         onBufferedBytes.accept(data.remaining());
         readAhead = readAhead == null
@@ -96,8 +103,12 @@
     @Override
     protected int doReadBytes(ByteBuf target) throws Exception {
         if (readAhead == null) {
-            return super.doReadBytes(target);
+            int capacity = target.writableBytes();
+            int bytesRead = super.doReadBytes(target);
+            readAllArrived = bytesRead < capacity;
+            return bytesRead;
         }
+        readAllArrived = false;
         int bytesRead = Math.min(readAhead.readableBytes(), target.writableBytes());
         unsafe().recvBufAllocHandle().attemptedBytesRead(bytesRead);
         target.writeBytes(readAhead, bytesRead);
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -721,9 +721,19 @@
         return remainingUs;
     }
 
-    /** When a request's deadline timer fires, microseconds on the clock of {@link #now}. */
-    long deadlineTimerAt(Core.RequestHandle<RequestMessage, Upstream.Answer> handle) {
-        return core.deadlineTimerAt(handle);
+    /** Reading a request's streamed body pauses: bytes of it may have arrived that are not read. */
+    void readingPaused(Core.RequestHandle<RequestMessage, Upstream.Answer> handle) {
+        core.readingPaused(handle);
+    }
+
+    /** All bytes that have arrived of a request's streamed body have been read. */
+    void readingCaughtUp(Core.RequestHandle<RequestMessage, Upstream.Answer> handle) {
+        core.readingCaughtUp(handle);
+    }
+
+    /** When a streamed response has to be complete, microseconds on the clock of {@link #now}. */
+    long streamedResponseDueAt(Core.RequestHandle<RequestMessage, Upstream.Answer> handle) {
+        return core.streamedResponseDueAt(handle);
     }
 
     /** The retry delay for a client that is refused because it pipelined too much, microseconds; 0 for no advice. */
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -93,13 +93,10 @@
     private static final long DRAINING_IDLE_TIMEOUT_MS = 400;
     /** Timeout of a head from its first byte; the pieces of a body have {@link #IDLE_TIMEOUT_MS} between them. */
     private static final long HEAD_TIMEOUT_MS = 2_600;
-    /** A streamed request or response is aborted when it has made no progress for this time. */
+    /** Timeout of a request that is buffered whole, from its first byte, however steadily its pieces arrive. */
+    private static final long REQUEST_TIMEOUT_MS = 30_000;
+    /** A streamed response is aborted when it has made no progress for this time. */
     private static final long STALL_TIMEOUT_MS = 10_000;
-    /**
-     * Stall timeout of a streamed response after the client's deadline. A response that ends 0.5 s after the deadline
-     * is lost; the reset tells the client before that.
-     */
-    private static final long LATE_STALL_TIMEOUT_MS = 300;
     /**
      * Time for which data is read and dropped after a connection's last response: a close with unread data would reset
      * the connection, and the client could lose the response.
@@ -318,8 +315,10 @@
         private BodyStream upload;
         /** The streamed body of its response; null if there is none. */
         private BodyStream download;
-        /** The client's deadline for the streamed response, microseconds on the proxy's clock. */
-        private long downloadDeadlineUs;
+        /** Whether a streamed response has started and its last byte is not written yet. */
+        private boolean responseIncomplete;
+        /** When the response being written has to be complete, microseconds on the proxy's clock. */
+        private long responseDueUs = Long.MAX_VALUE;
         /** The request being read, and its body so far. */
         private HttpRequest head;
 
@@ -341,6 +340,8 @@
         private boolean closed;
         /** When the connection last made progress: a response was written or a byte of a request was read. */
         private long lastProgressNanos;
+        /** When a byte of the streamed request body was last read, or reading it was resumed. */
+        private long uploadProgressNanos;
         /** When the first byte of the request being read arrived; 0 if there is none. */
         private long requestStartedNanos;
 
@@ -368,11 +369,27 @@
         void onBytesRead() {
             long now = System.nanoTime();
             requestStartedNanos = requestStartedNanos == 0 ? now : requestStartedNanos;
-            if (idle.remove(this)) {
+            if (upload != null) {
+                uploadProgressNanos = now;
+            }
+            // While a response is being written, the connection waits for the client to read, not for its requests.
+            if (!busy && idle.remove(this)) {
                 lastProgressNanos = now;
                 idle.add(this);
-            } else if (upload != null) {
-                lastProgressNanos = now;
+            }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (upload != null && channel.config().isAutoRead() && channel.readAllArrived()) {
+                uploadCaughtUp();
+            }
+            ctx.fireChannelReadComplete();
+        }
+
+        private void uploadCaughtUp() {
+            if (requestHandle != null) {
+                proxy.readingCaughtUp(requestHandle);
             }
         }
 
@@ -381,7 +398,9 @@
             long idleMs = TimeUnit.NANOSECONDS.toMillis(now - lastProgressNanos);
             if (busy) {
                 // The response is being written and the client does not read it.
-                return idleMs > IDLE_TIMEOUT_MS || newRequestsStopped && now > answerDeadlineNanos;
+                return idleMs > IDLE_TIMEOUT_MS
+                        || newRequestsStopped && now > answerDeadlineNanos
+                        || proxy.now() > responseDueUs;
             }
             if (newRequestsStopped) {
                 // A client that is still sending may complete its request within a short time; one that has paused
@@ -391,8 +410,8 @@
             if (requestStartedNanos == 0) {
                 return idleMs > (lifecycle.closesConnections() ? DRAINING_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS);
             }
-            return idleMs > IDLE_TIMEOUT_MS
-                    || head == null && TimeUnit.NANOSECONDS.toMillis(now - requestStartedNanos) > HEAD_TIMEOUT_MS;
+            long readingMs = TimeUnit.NANOSECONDS.toMillis(now - requestStartedNanos);
+            return idleMs > IDLE_TIMEOUT_MS || readingMs > (head == null ? HEAD_TIMEOUT_MS : REQUEST_TIMEOUT_MS);
         }
 
         @Override
@@ -460,7 +479,7 @@
                     uploadBytes += data.readableBytes();
                     addPipelinedBytes(data.readableBytes());
                     if (bufferedBytes >= MAX_BUFFERED_BYTES) {
-                        channel.config().setAutoRead(false);
+                        setUploadReading(false);
                     }
                 }
                 upload.receive(data.retain());
@@ -508,6 +527,7 @@
                 addPipelinedBytes(-firstPart.length);
                 upload = new BodyStream(
                         Framing.contentLength(head.headers()), MAX_PIPELINED_BYTES, this::setUploadReading);
+                uploadProgressNanos = System.nanoTime();
                 streaming.add(this);
                 handle(new PendingRequest(head, firstPart, arrivalUs(), null, 0), upload);
             }
@@ -526,7 +546,10 @@
                 releaseUploadBytes();
             }
             channel.config().setAutoRead(reading);
-            lastProgressNanos = System.nanoTime();
+            uploadProgressNanos = System.nanoTime();
+            if (!reading && requestHandle != null) {
+                proxy.readingPaused(requestHandle);
+            }
         }
 
         private void releaseUploadBytes() {
@@ -567,14 +590,26 @@
             }
         }
 
+        /**
+         * Ends a streamed request whose client sends nothing more, or a streamed response that makes no progress. Each
+         * has a time of its own, since progress of the one says nothing about the other. How long they may take in all
+         * is limited by the core.
+         */
         private void endIfStalled(long now) {
-            long stalledMs = TimeUnit.NANOSECONDS.toMillis(now - lastProgressNanos);
-            if (upload != null && download == null && channel.config().isAutoRead() && stalledMs > IDLE_TIMEOUT_MS) {
+            boolean uploadStalled = false;
+            if (upload != null && channel.config().isAutoRead()) {
+                if (!channel.hasUnreadData()) {
+                    uploadCaughtUp();
+                }
+                uploadStalled = TimeUnit.NANOSECONDS.toMillis(now - uploadProgressNanos) > IDLE_TIMEOUT_MS;
+            }
+            if (download != null) {
+                long stalledMs = TimeUnit.NANOSECONDS.toMillis(now - lastProgressNanos);
+                if (uploadStalled || stalledMs > STALL_TIMEOUT_MS) {
+                    close(Close.STALLED);
+                }
+            } else if (uploadStalled) {
                 abortRequest(HttpResponseStatus.REQUEST_TIMEOUT);
-            } else if (download != null && stalledMs > LATE_STALL_TIMEOUT_MS && proxy.now() > downloadDeadlineUs) {
-                reset();
-            } else if (stalledMs > STALL_TIMEOUT_MS) {
-                close(Close.STALLED);
             }
         }
 
@@ -701,7 +736,7 @@
             boolean untilClose = answer.remainingBody().length() < 0 && http10;
             BodyStream remainingBody = answer.remainingBody();
             download = remainingBody;
-            downloadDeadlineUs = proxy.deadlineTimerAt(requestHandle);
+            responseIncomplete = true;
             streaming.add(this);
             lastProgressNanos = System.nanoTime();
             ByteBuf firstPart = Unpooled.wrappedBuffer(answer.body());
@@ -732,12 +767,13 @@
                 @Override
                 public void end(boolean complete) {
                     download = null;
+                    responseDueUs = proxy.streamedResponseDueAt(requestHandle);
                     requestHandle = null;
                     if (upload == null) {
                         streaming.remove(Client.this);
                     }
                     if (!complete) {
-                        reset();
+                        close(Close.STALLED);
                         return;
                     }
                     stopUpload();
@@ -749,14 +785,6 @@
             });
         }
 
-        /** Resets the connection, since a client could mistake a regular close for the end of the response. */
-        private void reset() {
-            if (channel.isOpen()) {
-                ((SocketChannel) channel).config().setSoLinger(0);
-            }
-            close(Close.STALLED);
-        }
-
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
             if (download != null) {
@@ -822,6 +850,9 @@
 
         /** The final answer is written: closes the connection or handles the next waiting request. */
         private void onAnswerWritten(boolean lastOnConnection) {
+            responseIncomplete = false;
+            responseDueUs = Long.MAX_VALUE;
+            lastProgressNanos = System.nanoTime();
             if (lastOnConnection) {
                 closeGracefully();
             } else {
@@ -903,11 +934,18 @@
                     .toString();
         }
 
+        /**
+         * Closes the connection at once. In the middle of a streamed response it is reset, since a client could mistake
+         * a regular close for the end of the response.
+         */
         private void close(Close reason) {
             if (!closed) {
                 closed = true;
                 closes.add(reason);
-                boolean answerRequired = requestHandle != null || !pipelined.isEmpty();
+                if (responseIncomplete && channel.isOpen()) {
+                    channel.config().setSoLinger(0);
+                }
+                boolean answerRequired = requestHandle != null && !responseIncomplete || !pipelined.isEmpty();
                 if (answerRequired && reason != Close.BY_PEER) {
                     guard.verify(RuleGuard.Check.CLOSE_UNANSWERED, channel.closedByClient(), null);
                 }
--- a/src/main/java/mulleinfront/proxy/WatchReadTimeout.java
+++ b/src/main/java/mulleinfront/proxy/WatchReadTimeout.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.timeout.ReadTimeoutHandler;
+import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import mulleinfront.core.Wire;
 
@@ -51,12 +52,22 @@
         ctx.pipeline().addFirst(timer);
     }
 
+    /** The response's head must be complete within the timeout of the list, however many reads it takes. */
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
+        if (!hasReceivedData()) {
+            ctx.executor().schedule(() -> failWithoutBody(ctx), listTimeoutMs, TimeUnit.MILLISECONDS);
+        }
         lastReadNanos = System.nanoTime();
         ctx.fireChannelRead(msg);
     }
 
+    private void failWithoutBody(ChannelHandlerContext ctx) {
+        if (!bodyStarted) {
+            ctx.fireExceptionCaught(new IOException("no response body came"));
+        }
+    }
+
     /** Called for each part of the response body; the first one starts the timeout of the list. */
     void onBodyData(ChannelHandlerContext ctx) {
         if (!bodyStarted) {
--- a/src/test/java/mulleinfront/proxy/BodiesTest.java
+++ b/src/test/java/mulleinfront/proxy/BodiesTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.util.concurrent.Future;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -26,6 +27,8 @@
 import mulleinfront.proxy.StandIns.ReceivedRequest;
 import mulleinfront.proxy.StandIns.Server;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Request and response bodies that are too large to buffer: they are streamed, under the same invariants. */
 class BodiesTest extends ProxyTestBase {
@@ -384,4 +387,111 @@
         later.socket.setSoTimeout(100);
         assertThrows(SocketTimeoutException.class, later.in::read, "a response before its client's deadline continues");
     }
+
+    /** The ways in which a server may send a response that never ends. */
+    enum EndlessResponse {
+        SLOW_CHUNKS("Transfer-Encoding: chunked\r\n\r\n", "5\r\nabcde\r\n", 20),
+        FAST_CHUNKS("Transfer-Encoding: chunked\r\n\r\n", "5\r\nabcde\r\n".repeat(1_000), 1),
+        TRAILERS("Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\n", "X-T: 1\r\n", 20),
+        CHUNK_EXTENSION("Transfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n5;", "x", 20),
+        UNTIL_CLOSE("Connection: close\r\n\r\nabcde", "abcde", 20),
+        LONG_LENGTH("Content-Length: 30000000\r\n\r\nabcde", "abcde", 20),
+        SHORT_LENGTH("Content-Length: 60000\r\n\r\nabcde", "abcde", 20),
+        HEAD("X-Long: a", "a", 20);
+
+        final String start;
+        final String piece;
+        final long intervalMs;
+
+        EndlessResponse(String start, String piece, long intervalMs) {
+            this.start = start;
+            this.piece = piece;
+            this.intervalMs = intervalMs;
+        }
+
+        /** Sends the response until the proxy closes the connection. */
+        void send(ReceivedRequest request) {
+            try {
+                OutputStream out = request.socket().getOutputStream();
+                out.write(("HTTP/1.1 200 OK\r\n" + start).getBytes());
+                while (true) {
+                    out.write(piece.getBytes());
+                    Thread.sleep(intervalMs);
+                }
+            } catch (IOException closed) {
+                // the end of the response
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
+    /** Guards against lost requests: progress of a response may not keep it open beyond its client's deadline. */
+    @ParameterizedTest
+    @EnumSource
+    void endlessResponseIsAnsweredOrAborted(EndlessResponse endless) throws Exception {
+        Server server = startWithServer(endless::send);
+        Client client = connectClient().getSafe("a", 500);
+        Client http10Client = connectClient()
+                .write("GET /api HTTP/1.0\r\nX-Request-Id: old\r\nX-Class: safe\r\nX-Deadline-Ms: 500\r\n\r\n");
+        assertTrue(failsOrBreaksOff(client), "the client can tell that it is not served");
+        assertTrue(failsOrBreaksOff(http10Client), "a regular close would end the response");
+        for (int i = 0; i < 2; i++) {
+            StandIns.awaitNext(server.received, "the request").awaitConnectionEnd();
+        }
+    }
+
+    /** Whether a response is an error or breaks off. */
+    private static boolean failsOrBreaksOff(Client client) throws IOException {
+        return client.readHead().status() != 200 || breaksOff(client);
+    }
+
+    /** Reads to the end of the connection, within a time limit; returns whether that is a reset. */
+    private static boolean breaksOff(Client client) {
+        byte[] piece = new byte[10_000];
+        long limitNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(StandIns.TIMEOUT_S);
+        try {
+            while (client.in.read(piece) >= 0 && System.nanoTime() < limitNanos) {
+                // discards the body
+            }
+            return false;
+        } catch (SocketTimeoutException open) {
+            return false;
+        } catch (IOException reset) {
+            return true;
+        }
+    }
+
+    /** Guards against an unanswered close: the client has sent all of its request, which its endpoint does not take. */
+    @Test
+    void requestThatItsEndpointDoesNotReadFailsAtItsDeadline() throws Exception {
+        try (ServerSocket hung = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            startProxy("", StandIns.endpointJson("s", "127.0.0.1:" + hung.getLocalPort(), "in_service"));
+            balancer.onRequest = request -> balancer.actions.send(request.id(), "s", 0);
+            Client client =
+                    connectClient().write(postHead("a", 500, "Content-Length: " + EXCEEDS_BUFFERS_BYTES + "\r\n"));
+            Thread writer = new Thread(() -> {
+                try {
+                    client.socket.getOutputStream().write(new byte[EXCEEDS_BUFFERS_BYTES]);
+                } catch (IOException e) {
+                    // the proxy has answered and closed the connection
+                }
+            });
+            writer.setDaemon(true);
+            writer.start();
+            assertEquals(504, client.read().status());
+        }
+    }
+
+    /** Guards the end of the process: a response that never ends may not delay it beyond the shutdown deadline. */
+    @Test
+    void endlessResponseDoesNotDelayTheShutdown() throws Exception {
+        startWithServer(EndlessResponse.SLOW_CHUNKS::send);
+        Client client = connectClient().getSafe("a", 60_000);
+        client.readHead();
+        Future<?> shutdown = proxy.drain();
+        assertTrue(breaksOff(client));
+        assertTrue(shutdown.await(StandIns.TIMEOUT_S, TimeUnit.SECONDS), "the shutdown ends");
+        proxy = null;
+    }
 }
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -52,6 +52,27 @@
         assertTrue(balancer.listEvents.isEmpty(), "each failure is reported once");
     }
 
+    /** Guards against a call that never ends: bytes of its response's head may not renew its timeout for ever. */
+    @Test
+    void endlessHeadOfAResponseFailsTheCall() throws Exception {
+        startProxy("");
+        ReceivedRequest watch = discovery.acceptWatch();
+        Thread sender = new Thread(() -> {
+            try {
+                watch.write("HTTP/1.1 200 OK\r\nX-Long: ");
+                while (!watch.connectionEnded().isDone()) {
+                    watch.write("a");
+                    Thread.sleep(20);
+                }
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        });
+        sender.setDaemon(true);
+        sender.start();
+        assertEquals("failed", StandIns.awaitNext(balancer.listEvents, "the failure of the call"));
+    }
+
     @Test
     void pushedListsAreWatchedWithoutASubscription() throws Exception {
         // Guards deployments with pushed lists: there the balancer never subscribes and is not notified of failures.
