--- a/src/main/java/mulleinfront/Balancer.java
+++ b/src/main/java/mulleinfront/Balancer.java
@@ -41,7 +41,7 @@
         onDiscoveryFailed(now);
     }
 
-    /** A discovery call failed without reaching discovery: connection refused, or timed out before being accepted. */
+    /** A discovery call surely did not reach discovery: its connection was refused. */
     default void onDiscoveryUnreachable(long now) {
         onDiscoveryFailed(now);
     }
--- a/src/main/java/mulleinfront/CallSchedule.java
+++ b/src/main/java/mulleinfront/CallSchedule.java
@@ -162,17 +162,15 @@
         timedOutCalls += now - calledAt >= callTimeoutUs() ? 1 : 0;
         if (unreachable) {
             deadline.callUnreachable();
-        } else if (now - calledAt >= QUEUED_CALL_US) {
-            deadline.callTimedOut();
         } else {
-            deadline.callRejected();
+            deadline.callFailed();
         }
         return callAgain(now);
     }
 
     /** Time of the next call after a response without a complete list. */
     long afterAnsweredCall(long now) {
-        deadline.callRejected();
+        deadline.callFailed();
         return callAgain(now);
     }
 
--- a/src/main/java/mulleinfront/ListDeadline.java
+++ b/src/main/java/mulleinfront/ListDeadline.java
@@ -17,10 +17,10 @@
  * <li>After a change of discovery's address the propagation deadline is {@link #MOVED_US}.
  * </ul>
  *
- * <p>All deadlines are reset when discovery was unreachable. A call whose connection was refused, or timed out before
- * being accepted, shows that. A call that timed out later may have met an overloaded or an unreachable discovery:
- * {@link #TIMEOUTS_UNTIL_UNREACHABLE} of them in a row count as unreachable ({@link #TIMEOUTS_AFTER_WATCH_ENDED} after
- * a watch that discovery closed), unless discovery has rejected a call since its last response.
+ * <p>Only a call that did not reach discovery postpones deadlines: discovery had no change to tell then. Any other
+ * failure proves nothing, whenever and however often it comes. Discovery answers 503, resets a call or leaves it
+ * unanswered while it is down, but also while it has more calls than it can answer: then it is reachable and has the
+ * changes.
  */
 final class ListDeadline {
     /** Propagation deadline, counted from when discovery had a change and was reachable. */
@@ -29,10 +29,6 @@
     static final long WATCH_ENDED_US = 2_000_000;
     /** Propagation deadline after discovery's address changed. */
     static final long MOVED_US = 4_000_000;
-    /** Consecutive calls that timed out after which discovery counts as unreachable. */
-    static final int TIMEOUTS_UNTIL_UNREACHABLE = 2;
-    /** The number of such calls after discovery closed the watch: it was reachable then. */
-    static final int TIMEOUTS_AFTER_WATCH_ENDED = 4;
     /** Multiple of the poll interval limit that applies after a failed call. */
     private static final int FAILED_CALL_FACTOR = 4;
 
@@ -54,9 +50,6 @@
     private long watchEndedDeadline = NO_DEADLINE;
 
     private long movedDeadline = NO_DEADLINE;
-    private int consecutiveTimeouts;
-    /** Whether discovery has rejected a call since its last response: it is reachable, and there are too many calls. */
-    private boolean rejectedSinceResponse;
 
     ListDeadline(long askWithinUs, long startedAt) {
         this.askWithinUs = askWithinUs;
@@ -77,14 +70,8 @@
     /** Discovery has responded with a list, and a watch is open. */
     void renewed() {
         watchOpen = true;
-        reset();
-    }
-
-    private void reset() {
         watchEndedDeadline = NO_DEADLINE;
         movedDeadline = NO_DEADLINE;
-        consecutiveTimeouts = 0;
-        rejectedSinceResponse = false;
     }
 
     /**
@@ -130,35 +117,18 @@
         expiresAfterUs = askWithinUs;
     }
 
-    /** The last call did not reach discovery: all deadlines are reset and count from the start of that call. */
-    void callUnreachable() {
-        callFailed();
-        staleSince = intervalStart;
-        reset();
-    }
-
-    /** The last call failed after a wait: discovery is unreachable or overloaded. */
-    void callTimedOut() {
-        int timeouts = consecutiveTimeouts + 1;
-        callFailed();
-        if (timeouts >= (watchEndedDeadline == NO_DEADLINE ? TIMEOUTS_UNTIL_UNREACHABLE : TIMEOUTS_AFTER_WATCH_ENDED)
-                && !rejectedSinceResponse) {
-            callUnreachable();
-        }
-        consecutiveTimeouts = timeouts;
-    }
-
     /**
-     * The last call was rejected at once, or its response broke off: discovery is reachable, and calls that time out do
-     * not count against that until it has responded.
+     * The last call did not reach discovery. The deadlines count from the start of that call, except for that of a
+     * change of address, which holds whether or not the new address is reachable.
      */
-    void callRejected() {
+    void callUnreachable() {
         callFailed();
-        consecutiveTimeouts = 0;
-        rejectedSinceResponse = true;
+        staleSince = intervalStart;
+        watchEndedDeadline = NO_DEADLINE;
     }
 
-    private void callFailed() {
+    /** The last call failed, or its response broke off: discovery may have been reachable. */
+    void callFailed() {
         callWithinUs = FAILED_CALL_FACTOR * askWithinUs;
         expiresAfterUs = callWithinUs;
     }
--- a/src/main/java/mulleinfront/Subscription.java
+++ b/src/main/java/mulleinfront/Subscription.java
@@ -64,7 +64,7 @@
         scheduleCall(watchOpen ? schedule.afterWatchLost(now, quietUs) : schedule.afterAnsweredCall(now));
     }
 
-    /** The call did not reach discovery: connection refused, or timed out before being accepted. */
+    /** The call did not reach discovery: its connection was refused. */
     void unreachable(long now) {
         scheduleCall(watchOpen ? schedule.afterWatchLost(now, 0) : schedule.afterFailedCall(now, true));
     }
--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -260,8 +260,8 @@
     /**
      * Handles a discovery call that failed before any response; the current list stays in use.
      *
-     * @param unreachable whether discovery could not be reached: the connection was refused, or it timed out before
-     *        discovery accepted the call
+     * @param unreachable whether discovery could not be reached: the connection was refused. Any other failure may come
+     *        from a discovery that is reachable and busy
      */
     public void discoveryFailed(boolean unreachable) {
         run(() -> {
--- a/src/main/java/mulleinfront/core/Wire.java
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -38,8 +38,6 @@
     long CALL_TIMEOUT_US = 3_500_000;
     /** Timeout of a list from the first byte of its response; heartbeats before the list do not extend it. */
     long LIST_TIMEOUT_US = 3_200_000;
-    /** Longest time for which discovery queues a call. A call without any response by then was never accepted. */
-    long MAX_DISCOVERY_WAIT_MS = 3_000;
     /** Upper limit of {@link #movedCallTimeoutUs}. */
     long MOVED_CALL_TIMEOUT_US = 3_200_000;
 
--- a/src/main/java/mulleinfront/emulator/DiscoveryClient.java
+++ b/src/main/java/mulleinfront/emulator/DiscoveryClient.java
@@ -208,8 +208,7 @@
                         begun ? agentBackoff.delayAfterWatchUs() : agentBackoff.delayAfterCallUs(),
                         () -> DiscoveryClient.this.watch(Wire.CALL_TIMEOUT_US));
             } else if (!begun) {
-                boolean unresponsive = timedOut && time.now() - calledAt >= 1_000 * Wire.MAX_DISCOVERY_WAIT_MS;
-                core.discoveryFailed(unreachable || unresponsive);
+                core.discoveryFailed(unreachable);
             } else if (timedOut || reset) {
                 core.watchLost(lastDataAt == 0 ? 0 : time.now() - lastDataAt);
             } else {
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -8,15 +8,17 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpResponseDecoder;
-import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.util.NetUtil;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.NoRouteToHostException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -47,8 +49,6 @@
 
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int MAX_TIMEOUT_DOUBLINGS = 2;
-    /** A call that ends sooner than this was not queued by discovery. */
-    private static final long MIN_QUEUED_CALL_MS = 1_000;
 
     /** Receives lists, and is notified of failed calls and watches. */
     interface Listener {
@@ -57,7 +57,7 @@
         /**
          * A call failed before its response body started.
          *
-         * @param unreachable whether the connection was refused or timed out before discovery accepted the call
+         * @param unreachable whether the call surely did not reach discovery
          */
         void onCallFailed(boolean unreachable);
 
@@ -281,7 +281,6 @@
         private final long callNumber = ++calls;
         private final long startedNanos = System.nanoTime();
         private final WatchReadTimeout readTimeout;
-        private boolean connected;
         private boolean endedByDiscovery;
         private boolean listReceived;
         /** The newest version that this watch has sent. */
@@ -312,7 +311,6 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            connected = true;
             String after = version >= 0 ? "&after=" + version : "";
             ctx.writeAndFlush(Unpooled.copiedBuffer(
                     "GET /api/targets?watch=1" + after + " HTTP/1.1\r\n" + "Host: discovery\r\n\r\n",
@@ -395,7 +393,7 @@
                     incompleteListCalls = Math.min(incompleteListCalls + 1, MAX_TIMEOUT_DOUBLINGS);
                 }
                 if (!readTimeout.bodyStarted()) {
-                    listener.onCallFailed(wasNotAccepted(cause));
+                    listener.onCallFailed(isUnreachable(cause));
                 } else if (endedByDiscovery) {
                     listener.onWatchEnded();
                 } else {
@@ -403,15 +401,15 @@
                 }
             }
         }
+    }
 
-        /**
-         * Whether discovery never accepted the call: there was no connection, it broke at once, or nothing at all was
-         * read for longer than discovery queues a call.
-         */
-        private boolean wasNotAccepted(Throwable cause) {
-            boolean endedAtOnce = elapsedMs() < MIN_QUEUED_CALL_MS;
-            boolean timedOut = cause instanceof ReadTimeoutException && elapsedMs() >= Wire.MAX_DISCOVERY_WAIT_MS;
-            return !readTimeout.hasReceivedData() && (!connected || endedAtOnce || timedOut);
-        }
+    /**
+     * Whether a call surely did not reach discovery: nothing listens at its address, or no route leads there. A
+     * connection that does not come up in time, a reset, an error response and silence prove nothing, since a discovery
+     * with too many callers causes them too; nor does a lack of descriptors or ports of this process.
+     */
+    private static boolean isUnreachable(Throwable cause) {
+        return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException)
+                || cause instanceof NoRouteToHostException;
     }
 }
--- a/src/test/java/mulleinfront/ListDeadlineTest.java
+++ b/src/test/java/mulleinfront/ListDeadlineTest.java
@@ -1,7 +1,10 @@
 package mulleinfront;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Map;
+import java.util.function.Consumer;
 import mulleinfront.Balancer.ListExpiryReason;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,9 +29,9 @@
         assertEquals(LOST_AT_US + ListDeadline.WATCH_ENDED_US, deadline.propagationDeadline());
         deadline.called(LOST_AT_US + SECOND_US);
         assertEquals(LOST_AT_US + ListDeadline.WATCH_ENDED_US, deadline.propagationDeadline());
-        deadline.callRejected();
+        deadline.callFailed();
         deadline.called(LOST_AT_US + 2 * SECOND_US);
-        deadline.callTimedOut();
+        deadline.callFailed();
         assertEquals(LOST_AT_US + ListDeadline.WATCH_ENDED_US, deadline.propagationDeadline());
         assertEquals(ListExpiryReason.WATCH_ENDED, deadline.expiryReason());
     }
@@ -45,7 +48,7 @@
     void deadlineOfABrokenWatchCountsFromItsLastData() {
         deadline.watchLost(LOST_AT_US - 2 * SECOND_US, LOST_AT_US);
         deadline.called(LOST_AT_US + SECOND_US);
-        deadline.callRejected();
+        deadline.callFailed();
         assertEquals(LOST_AT_US - 2 * SECOND_US + ListDeadline.PROPAGATION_US, deadline.propagationDeadline());
         assertEquals(ListExpiryReason.REACHABLE, deadline.expiryReason());
     }
@@ -59,7 +62,7 @@
         shortDeadline.called(LOST_AT_US + SECOND_US / 2);
         assertEquals(LOST_AT_US + SECOND_US / 2 + SECOND_US, shortDeadline.propagationDeadline());
         assertEquals(ListExpiryReason.ASK_WITHIN, shortDeadline.expiryReason());
-        shortDeadline.callRejected();
+        shortDeadline.callFailed();
         assertEquals(LOST_AT_US + SECOND_US / 2 + 4 * SECOND_US, shortDeadline.propagationDeadline());
     }
 
@@ -71,62 +74,49 @@
         assertEquals(LOST_AT_US + SECOND_US + ListDeadline.PROPAGATION_US, deadline.propagationDeadline());
     }
 
+    /**
+     * Guards against taking a discovery with too many callers for an unreachable one: it rejects calls for as long as
+     * there are too many, early or late, and has the changes meanwhile.
+     */
     @Test
-    void consecutiveTimeoutsCountAsUnreachable() {
-        deadline.watchLost(LOST_AT_US, LOST_AT_US);
-        long now = LOST_AT_US;
-        for (int timeouts = 1; timeouts < ListDeadline.TIMEOUTS_UNTIL_UNREACHABLE; timeouts++) {
-            now += 3 * SECOND_US;
-            deadline.called(now);
-            deadline.callTimedOut();
-            assertEquals(LOST_AT_US + ListDeadline.PROPAGATION_US, deadline.propagationDeadline());
-        }
-        now += 3 * SECOND_US;
-        deadline.called(now);
-        deadline.callTimedOut();
-        assertEquals(
-                now + ListDeadline.PROPAGATION_US,
-                deadline.propagationDeadline(),
-                "counted from the start of the last call");
-    }
-
-    @Test
-    void rejectionsBetweenTimeoutsShowThatDiscoveryIsReachable() {
-        deadline.watchLost(LOST_AT_US, LOST_AT_US);
-        for (int timeouts = 1; timeouts < 3 * ListDeadline.TIMEOUTS_UNTIL_UNREACHABLE; timeouts++) {
-            deadline.callTimedOut();
-            deadline.callRejected();
-            assertEquals(LOST_AT_US + ListDeadline.PROPAGATION_US, deadline.propagationDeadline());
-        }
-    }
-
-    @Test
-    void moreTimeoutsAreNeededAfterAClosedWatch() {
-        deadline.watchEnded(LOST_AT_US);
-        for (int timeouts = 1; timeouts < ListDeadline.TIMEOUTS_AFTER_WATCH_ENDED; timeouts++) {
-            deadline.called(LOST_AT_US + 3 * timeouts * SECOND_US);
-            deadline.callTimedOut();
-            assertEquals(LOST_AT_US + ListDeadline.WATCH_ENDED_US, deadline.propagationDeadline());
-        }
-        deadline.called(LOST_AT_US + 15 * SECOND_US);
-        deadline.callTimedOut();
-        assertEquals(LOST_AT_US + 15 * SECOND_US + ListDeadline.PROPAGATION_US, deadline.propagationDeadline());
+    void failedCallsNeverPostponeADeadline() {
+        Map<String, Consumer<ListDeadline>> causes = Map.of(
+                "start", list -> {},
+                "broken watch",
+                        list -> {
+                            list.renewed();
+                            list.watchLost(LOST_AT_US, LOST_AT_US);
+                        },
+                "closed watch",
+                        list -> {
+                            list.renewed();
+                            list.watchEnded(LOST_AT_US);
+                        },
+                "moved",
+                        list -> {
+                            list.renewed();
+                            list.moved(LOST_AT_US);
+                        });
+        causes.forEach((name, cause) -> {
+            ListDeadline list = new ListDeadline(10 * SECOND_US, LOST_AT_US);
+            cause.accept(list);
+            long due = list.propagationDeadline();
+            assertTrue(due <= LOST_AT_US + ListDeadline.PROPAGATION_US, name);
+            for (int calls = 1; calls < 20; calls++) {
+                list.called(LOST_AT_US + calls * 3 * SECOND_US);
+                list.callFailed();
+                assertEquals(due, list.propagationDeadline(), name + ", call " + calls);
+            }
+        });
     }
 
-    /**
-     * Guards against taking an overloaded discovery for an unreachable one: the calls of all instances together may
-     * take twice as long as discovery lets one of them wait.
-     */
+    /** The deadline after a change of address counts from the change, whether or not the new address is reachable. */
     @Test
-    void timeoutsAfterARejectionDoNotCountAsUnreachable() {
-        deadline.watchLost(LOST_AT_US, LOST_AT_US);
+    void unreachableNewAddressDoesNotPostponeTheMovedDeadline() {
+        deadline.moved(LOST_AT_US);
         deadline.called(LOST_AT_US + SECOND_US);
-        deadline.callRejected();
-        for (int timeouts = 1; timeouts < 3 * ListDeadline.TIMEOUTS_UNTIL_UNREACHABLE; timeouts++) {
-            deadline.called(LOST_AT_US + 3 * timeouts * SECOND_US);
-            deadline.callTimedOut();
-            assertEquals(LOST_AT_US + ListDeadline.PROPAGATION_US, deadline.propagationDeadline());
-        }
+        deadline.callUnreachable();
+        assertEquals(LOST_AT_US + ListDeadline.MOVED_US, deadline.propagationDeadline());
     }
 
     /** The process starts before its own code can read a clock, so deadlines count from the launch. */
--- a/src/test/java/mulleinfront/proxy/DiscoveryTest.java
+++ b/src/test/java/mulleinfront/proxy/DiscoveryTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import mulleinfront.proxy.StandIns.Client;
 import mulleinfront.proxy.StandIns.DiscoveryStandIn;
 import mulleinfront.proxy.StandIns.ReceivedRequest;
@@ -56,12 +57,12 @@
     @Test
     void endlessHeadOfAResponseFailsTheCall() throws Exception {
         startProxy("");
-        ReceivedRequest watch = discovery.acceptWatch();
+        ReceivedRequest call = StandIns.awaitNext(discovery.server.received, "the call");
         Thread sender = new Thread(() -> {
             try {
-                watch.write("HTTP/1.1 200 OK\r\nX-Long: ");
-                while (!watch.connectionEnded().isDone()) {
-                    watch.write("a");
+                call.write("HTTP/1.1 200 OK\r\nX-Long: ");
+                while (!call.connectionEnded().isDone()) {
+                    call.write("a");
                     Thread.sleep(20);
                 }
             } catch (InterruptedException e) {
@@ -73,6 +74,45 @@
         assertEquals("failed", StandIns.awaitNext(balancer.listEvents, "the failure of the call"));
     }
 
+    /**
+     * Guards against taking a discovery that has too many callers for an unreachable one: it rejects calls, breaks them
+     * off or leaves them waiting, although it is reachable.
+     */
+    @Test
+    void callsThatFailAfterTheirConnectionDoNotShowAnUnreachableDiscovery() throws Exception {
+        startProxy("");
+        balancer.onRequest = request -> {
+            balancer.actions.subscribe();
+            balancer.actions.fail(request.id());
+        };
+        List<Consumer<ReceivedRequest>> failures = List.of(
+                call -> call.respond(503, "", ""),
+                ReceivedRequest::reset,
+                ReceivedRequest::shutDownOutput,
+                call -> call.write("HTTP/1.1 2"),
+                call -> {});
+        for (int i = 0; i < failures.size(); i++) {
+            failures.get(i).accept(StandIns.awaitNext(discovery.server.received, "a call"));
+            assertEquals("failed", StandIns.awaitNext(balancer.listEvents, "the failure " + i));
+            connectClient().postUnsafe("call" + i, 20_000).read();
+        }
+    }
+
+    @Test
+    void refusedConnectionShowsAnUnreachableDiscovery() throws Exception {
+        startProxy("");
+        ReceivedRequest call = StandIns.awaitNext(discovery.server.received, "the call");
+        discovery.server.stopListening();
+        call.reset();
+        assertEquals("failed", StandIns.awaitNext(balancer.listEvents, "the broken call"));
+        balancer.onRequest = request -> {
+            balancer.actions.subscribe();
+            balancer.actions.fail(request.id());
+        };
+        connectClient().postUnsafe("id1", 20_000).read();
+        assertEquals("unreachable", StandIns.awaitNext(balancer.listEvents, "the refused connection"));
+    }
+
     @Test
     void pushedListsAreWatchedWithoutASubscription() throws Exception {
         // Guards deployments with pushed lists: there the balancer never subscribes and is not notified of failures.
--- a/src/test/java/mulleinfront/proxy/ProxyTestBase.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTestBase.java
@@ -59,6 +59,11 @@
             listEvents.add("failed");
         }
 
+        @Override
+        public void onDiscoveryUnreachable(long now) {
+            listEvents.add("unreachable");
+        }
+
         @Override
         public void onRequest(long now, Request request) {
             onRequest.accept(request);
