--- a/src/test/java/mulleinfront/proxy/ListsTest.java
+++ b/src/test/java/mulleinfront/proxy/ListsTest.java
@@ -130,7 +130,7 @@
         }
         subscribeOnEachRequest();
         moveDiscoveryTo("127.0.0.1:" + port);
-        assertEquals("failed", StandIns.awaitNext(balancer.listEvents, "the failed call to the new address"));
+        assertEquals("unreachable", StandIns.awaitNext(balancer.listEvents, "the failed call to the new address"));
         DiscoveryStandIn other = closeAfterTest(new DiscoveryStandIn());
         moveDiscoveryTo(other.server.address());
         ReceivedRequest newWatch = other.acceptWatch();
