Tests: replicas listen on ports that no outgoing connection can take

TestCluster drew its ports from the system's ephemeral range, so while a replica was stopped another socket's outgoing connection could take its port. FreePorts returns ports below that range, each once; ServeTest's and ControlPlaneNodes' own copies of this are replaced by it.

--- a/src/test/java/mulleinfront/keep/TestCluster.java
+++ b/src/test/java/mulleinfront/keep/TestCluster.java
@@ -4,9 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
@@ -17,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import mulleinfront.FreePorts;
 import mulleinfront.config.Proposal;
 import mulleinfront.config.Version;
 import mulleinfront.config.VersionLog;
@@ -38,9 +37,7 @@
         this.baseDirectory = baseDirectory;
         for (String name : NAMES) {
             loops.put(name, new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
-            try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-                addresses.put(name, (InetSocketAddress) probe.getLocalSocketAddress());
-            }
+            addresses.put(name, new InetSocketAddress("127.0.0.1", FreePorts.next()));
         }
     }
 
--- a/src/test/java/mulleinfront/proxy/ConfigServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ConfigServeTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import mulleinfront.FreePorts;
 import mulleinfront.proxy.ControlPlaneNodes.Subscriber;
 import mulleinfront.proxy.StandIns.Client;
 import org.junit.jupiter.api.AfterEach;
@@ -76,7 +77,7 @@
         controlPlane.startAll();
         controlPlane.addSubscribers(10);
         Path errors = folder.resolve("served");
-        int port = ServeTest.freePort();
+        int port = FreePorts.next();
         Process process = startProxy(port, "127.0.0.1:1", errors);
         controlPlane.propose(1, "[service.a]\nlimit = \"5ms\"\n");
         controlPlane.awaitActiveEverywhere(1);
@@ -97,13 +98,13 @@
         }
         // No control-plane node is running: the proxy starts with its cached copy.
         Path restartErrors = folder.resolve("again");
-        startProxy(ServeTest.freePort(), "127.0.0.1:1", restartErrors);
+        startProxy(FreePorts.next(), "127.0.0.1:1", restartErrors);
         awaitLine(restartErrors, "configuration version 1 in force, kept");
         // A truncated copy is rejected, and the proxy reports it.
         byte[] completeCopy = Files.readAllBytes(cachedCopy);
         Files.write(cachedCopy, Arrays.copyOf(completeCopy, completeCopy.length / 2));
         Path truncatedErrors = folder.resolve("cut");
-        startProxy(ServeTest.freePort(), "127.0.0.1:1", truncatedErrors);
+        startProxy(FreePorts.next(), "127.0.0.1:1", truncatedErrors);
         awaitLine(truncatedErrors, "configuration.json: cached configuration ignored: ");
         assertTrue(controlPlane.runConfigCommand("status").startsWith("1\n"), "no control-plane node responds");
     }
@@ -136,7 +137,7 @@
         controlPlane.startAll();
         controlPlane.addSubscribers(10);
         Path errors = folder.resolve("served");
-        int port = ServeTest.freePort();
+        int port = FreePorts.next();
         startProxy(port, "127.0.0.1:1", errors);
         controlPlane.propose(1, "");
         controlPlane.awaitActiveEverywhere(1);
@@ -227,7 +228,7 @@
     void pausedProxyCatchesUpWithTheNewestVersion() throws Exception {
         controlPlane.startAll();
         Path errors = folder.resolve("served");
-        Process process = startProxy(ServeTest.freePort(), "127.0.0.1:1", errors);
+        Process process = startProxy(FreePorts.next(), "127.0.0.1:1", errors);
         controlPlane.propose(1, "");
         awaitLine(errors, "configuration version 1 in force");
         ControlPlaneNodes.await(
@@ -250,7 +251,7 @@
     void subscribingProxyLoadsNoControlPlaneClasses() throws Exception {
         Path errors = folder.resolve("served");
         Path loaded = folder.resolve("loaded");
-        Process process = startProxy(ServeTest.freePort(), "127.0.0.1:1", errors, "-Xlog:class+load:file=" + loaded);
+        Process process = startProxy(FreePorts.next(), "127.0.0.1:1", errors, "-Xlog:class+load:file=" + loaded);
         awaitLine(errors, "listening on");
         awaitLine(loaded, "mulleinfront.follow.ConfigWatcher ");
         process.destroy();
@@ -283,7 +284,7 @@
                 StandIns.DiscoveryStandIn other = new StandIns.DiscoveryStandIn()) {
             controlPlane.startAll();
             Path errors = folder.resolve("served");
-            startProxy(ServeTest.freePort(), old.server.address(), errors);
+            startProxy(FreePorts.next(), old.server.address(), errors);
             old.acceptWatch();
             controlPlane.propose(1, "discovery = \"" + other.server.address() + "\"\n");
             other.acceptWatch();
--- a/src/test/java/mulleinfront/proxy/ControlPlaneNodes.java
+++ b/src/test/java/mulleinfront/proxy/ControlPlaneNodes.java
@@ -6,19 +6,16 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import mulleinfront.FreePorts;
 import mulleinfront.cli.CommandLine;
 import mulleinfront.follow.ConfigWatcher;
 import mulleinfront.settings.ControlFile;
@@ -70,33 +67,18 @@
         this.controlFile = folder.resolve("control.toml");
         StringBuilder toml = new StringBuilder(cacheCopies ? "state = \"" + folder.resolve("state") + "/%n\"\n" : "")
                 .append("events = \"" + folder.resolve("events-%n.json") + "\"\n");
-        Set<Integer> ports = new HashSet<>();
         for (int i = 1; i <= 3; i++) {
             toml.append("[[machine]]\nname = \"c")
                     .append(i)
                     .append("\"\nconsensus = \"127.0.0.1:")
-                    .append(freePort(ports))
+                    .append(FreePorts.next())
                     .append("\"\ndoor = \"127.0.0.1:")
-                    .append(freePort(ports))
+                    .append(FreePorts.next())
                     .append("\"\n");
         }
         Files.writeString(controlFile, toml);
     }
 
-    /** A free port below the system's ephemeral range. */
-    private static int freePort(Set<Integer> excluded) {
-        while (true) {
-            int port = ThreadLocalRandom.current().nextInt(20_000, 30_000);
-            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                if (excluded.add(port)) {
-                    return socket.getLocalPort();
-                }
-            } catch (java.io.IOException e) {
-                // in use: try another
-            }
-        }
-    }
-
     void startNode(int node) throws Exception {
         List<String> command = new ArrayList<>(ServeTest.serveCommand());
         command.remove("serve");
--- a/src/test/java/mulleinfront/proxy/FleetServeTest.java
+++ b/src/test/java/mulleinfront/proxy/FleetServeTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import mulleinfront.FreePorts;
 import mulleinfront.cli.CommandLine;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -39,7 +40,7 @@
                 folder.resolve("fleet.toml"),
                 "fleet = \"test\"\nperiod = \"100ms\"\nsettled-after = \"400ms\"\n" + moreToml);
         for (int i = 0; i < MEMBERS; i++) {
-            managementPorts[i] = ServeTest.freePort();
+            managementPorts[i] = FreePorts.next();
             try (DatagramSocket free = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
                 peerPorts[i] = free.getLocalPort();
             }
--- a/src/test/java/mulleinfront/proxy/IdleClientsTest.java
+++ b/src/test/java/mulleinfront/proxy/IdleClientsTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import mulleinfront.FreePorts;
 import mulleinfront.proxy.StandIns.Client;
 import mulleinfront.proxy.StandIns.DiscoveryStandIn;
 import mulleinfront.proxy.StandIns.Message;
@@ -61,7 +62,7 @@
     }
 
     private void startProxy(String discovery, String knownList) throws Exception {
-        port = ServeTest.freePort();
+        port = FreePorts.next();
         Path file = folder.resolve("config.json");
         Files.writeString(file, StandIns.configJson(port, discovery, "", knownList));
         // A test's JVM holds a descriptor for each class path entry; the deployed program has a single jar.
--- a/src/test/java/mulleinfront/proxy/ServeTest.java
+++ b/src/test/java/mulleinfront/proxy/ServeTest.java
@@ -16,11 +16,11 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
+import mulleinfront.FreePorts;
 import mulleinfront.proxy.StandIns.Client;
 import mulleinfront.proxy.StandIns.DiscoveryStandIn;
 import mulleinfront.proxy.StandIns.Message;
@@ -46,7 +46,7 @@
         for (Server host : hosts) {
             entries.add(StandIns.endpointJson("s" + entries.size(), host.address(), "in_service"));
         }
-        int port = freePort();
+        int port = FreePorts.next();
         launch(
                 StandIns.configJson(
                         port,
@@ -77,18 +77,6 @@
         throw new AssertionError("the proxy did not become ready in time");
     }
 
-    /** A free port below the ephemeral range, so that no outgoing connection takes it. */
-    static int freePort() {
-        while (true) {
-            int port = ThreadLocalRandom.current().nextInt(20_000, 30_000);
-            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return socket.getLocalPort();
-            } catch (IOException e) {
-                // in use: try another
-            }
-        }
-    }
-
     /** Command line that starts the program as it is deployed, except for the memory limits. */
     static List<String> serveCommand() {
         return List.of(
@@ -217,7 +205,7 @@
         Server host = startServer(received::add);
         discovery = closeAfterTest(new DiscoveryStandIn());
         File errors = folder.resolve("errors").toFile();
-        int port = freePort();
+        int port = FreePorts.next();
         try (ServerSocket occupied = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             launch(
                     StandIns.configJson(
@@ -249,7 +237,7 @@
         Server host = startServer(received::add);
         File errors = folder.resolve("errors").toFile();
         discovery = closeAfterTest(new DiscoveryStandIn());
-        int port = freePort();
+        int port = FreePorts.next();
         launch(
                 StandIns.configJson(
                         port,
@@ -278,7 +266,7 @@
     void sigtermDuringTheWarmUpExitsWithoutServing() throws Exception {
         discovery = closeAfterTest(new DiscoveryStandIn());
         File errors = folder.resolve("errors").toFile();
-        int port = freePort();
+        int port = FreePorts.next();
         launch(StandIns.configJson(port, discovery.server.address(), "", "null"), ProcessBuilder.Redirect.to(errors));
         // The warm-up listens on that port and answers that it is not ready.
         int status = 0;
@@ -349,7 +337,7 @@
         Server host = startServer(request -> request.respondOk("x"));
         discovery = closeAfterTest(new DiscoveryStandIn());
         String known = StandIns.listJson(1, true, StandIns.endpointJson("s0", host.address(), "in_service"));
-        int port = freePort();
+        int port = FreePorts.next();
         Path processFile = folder.resolve("machine.toml");
         Files.writeString(processFile, "loops = 3\n");
         launch(
@@ -430,7 +418,7 @@
         assertTrue(shipped.listen().getAddress().isLoopbackAddress());
         assertTrue(shipped.discovery().getAddress().isLoopbackAddress());
         Server host = startServer(request -> request.respondOk("x"));
-        int port = freePort();
+        int port = FreePorts.next();
         launch(
                 Files.readString(sample)
                         .replace(":8081", ":" + port)
--- a/src/test/java/mulleinfront/proxy/StartTest.java
+++ b/src/test/java/mulleinfront/proxy/StartTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
+import mulleinfront.FreePorts;
 import mulleinfront.proxy.StandIns.DiscoveryStandIn;
 import mulleinfront.proxy.StandIns.FullBacklogEndpoint;
 import mulleinfront.settings.Config;
@@ -51,7 +52,7 @@
 
     @Test
     void earlyIdleClientsDoNotDelayTheStart() throws Exception {
-        int port = ServeTest.freePort();
+        int port = FreePorts.next();
         AtomicBoolean stopFlood = new AtomicBoolean();
         List<Socket> early = new CopyOnWriteArrayList<>();
         Thread flood = new Thread(() -> {
--- a/src/test/java/mulleinfront/proxy/UpgradeTest.java
+++ b/src/test/java/mulleinfront/proxy/UpgradeTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import mulleinfront.FreePorts;
 import mulleinfront.proxy.StandIns.Client;
 import mulleinfront.proxy.StandIns.DiscoveryStandIn;
 import mulleinfront.proxy.StandIns.Server;
@@ -119,7 +120,7 @@
         resources.add(discovery);
         String known = StandIns.listJson(1, true, StandIns.endpointJson("s0", host.address(), "in_service"));
         startPlatform();
-        int oldManagementPort = ServeTest.freePort();
+        int oldManagementPort = FreePorts.next();
         ProcessHandle old = start("old", oldManagementPort, discovery, known);
         awaitHealth(oldManagementPort);
         AtomicBoolean stopLoad = new AtomicBoolean();
@@ -142,7 +143,7 @@
             }));
         }
         loadThreads.forEach(Thread::start);
-        int newManagementPort = ServeTest.freePort();
+        int newManagementPort = FreePorts.next();
         ProcessHandle replacement = start("new", newManagementPort, discovery, known);
         awaitHealth(newManagementPort);
         assertTrue(old.isAlive());
--- a/src/test/java/mulleinfront/proxy/WarmUpTest.java
+++ b/src/test/java/mulleinfront/proxy/WarmUpTest.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import mulleinfront.FreePorts;
 import mulleinfront.settings.Config;
 import org.junit.jupiter.api.Test;
 
@@ -67,7 +68,7 @@
         ExecutorService starter = Executors.newSingleThreadExecutor();
         try (ServerSocketChannel inherited = ServerSocketChannel.open()) {
             inherited.bind(new InetSocketAddress("127.0.0.1", 0));
-            int managementPort = ServeTest.freePort();
+            int managementPort = FreePorts.next();
             Config configWithManagement = Config.parse(config.replace(
                             "{\"name\":\"n0\"", "{\"name\":\"n0\",\"management\":\"127.0.0.1:" + managementPort + "\"")
                     .getBytes(StandardCharsets.UTF_8));
