Emulator: discovery-late delays the answer to a call once

The delay was added to the start of an answer and once more to its list, so that lists came 10 s after a call where the scenario says 5 s (docs/emulator.md: what is told takes so much longer). Runs without this fault are unchanged: no random draw is added or left out.

--- a/src/main/java/mulleinfront/emulator/Registry.java
+++ b/src/main/java/mulleinfront/emulator/Registry.java
@@ -28,6 +28,8 @@
     /** Interval of heartbeats on a watch. */
     static final long HEARTBEAT_US = 2_000_000;
 
+    private static final Range NO_EXTRA_DELAY = Range.of(0);
+
     private final World world;
     private final Scenario.Discovery spec;
     private final RandomStream chance;
@@ -59,7 +61,7 @@
     private final Map<Integer, Integer> remainingPauses = new HashMap<>();
 
     private Range pauseRange = Range.of(0);
-    private Range extraUpdateDelay = Range.of(0);
+    private Range extraUpdateDelay = NO_EXTRA_DELAY;
     private int shuffleBatchSize;
     private final List<Runnable> shuffledDeliveries = new ArrayList<>();
     long calls;
@@ -106,7 +108,7 @@
             world.queue.after((long) spec.updateDelay().draw(chance::uniformBetween), () -> {
                 sendScheduled = false;
                 for (Watcher watcher : List.copyOf(watches)) {
-                    sendUpdate(watcher);
+                    sendUpdate(watcher, extraUpdateDelay);
                 }
             });
         }
@@ -140,8 +142,12 @@
         return new ListUpdate(version, true, List.copyOf(listedThen.values()));
     }
 
-    /** Sends a watch the changes after the version it has. */
-    private void sendUpdate(Watcher watcher) {
+    /**
+     * Sends a watch the changes after the version it has.
+     *
+     * @param extraDelay additional time that they take to arrive, microseconds
+     */
+    private void sendUpdate(Watcher watcher, Range extraDelay) {
         long from = watcher.sentVersion;
         if (down
                 || unresponsive
@@ -161,11 +167,11 @@
         watcher.sentVersion = version();
         if (consume(remainingTruncations, watcher.proxy())) {
             watches.remove(watcher);
-            world.queue.after(delayTo(watcher), () -> watcher.receiveTruncated(update));
+            world.queue.after(delayTo(watcher, extraDelay), () -> watcher.receiveTruncated(update));
             return;
         }
         if (consume(remainingPauses, watcher.proxy())) {
-            long beginsIn = delayTo(watcher);
+            long beginsIn = delayTo(watcher, extraDelay);
             watcher.pausing = true;
             world.queue.after(beginsIn, () -> watcher.receiveFirstHalf(update));
             world.queue.after(
@@ -179,7 +185,7 @@
                 deliverShuffled();
             }
         } else {
-            world.queue.after(delayTo(watcher), delivery);
+            world.queue.after(delayTo(watcher, extraDelay), delivery);
         }
     }
 
@@ -188,12 +194,12 @@
         watcher.pausing = false;
         if (!watcher.ended()) {
             watcher.receive(update);
-            sendUpdate(watcher);
+            sendUpdate(watcher, extraUpdateDelay);
         }
     }
 
-    private long delayTo(Watcher watcher) {
-        return world.network.delay(watcher.zone(), 0) + (long) extraUpdateDelay.draw(chance::uniformBetween);
+    private long delayTo(Watcher watcher, Range extraDelay) {
+        return world.network.delay(watcher.zone(), 0) + (long) extraDelay.draw(chance::uniformBetween);
     }
 
     private void deliverShuffled() {
@@ -251,7 +257,7 @@
             world.queue.after(spec.timeoutUs(), watcher::fail);
             return;
         }
-        world.queue.after(busyUntil - now + delayTo(watcher), () -> {
+        world.queue.after(busyUntil - now + delayTo(watcher, extraUpdateDelay), () -> {
             if (down) {
                 watcher.fail();
             } else if (!unresponsive && !watcher.ended() && !partitionedProxies.contains(watcher.proxy())) {
@@ -261,7 +267,8 @@
                     // Nothing changed since the caller's version, so the response is an empty delta.
                     watcher.receive(new ListUpdate(version(), false, List.of()));
                 } else {
-                    sendUpdate(watcher);
+                    // The whole answer has been delayed already.
+                    sendUpdate(watcher, NO_EXTRA_DELAY);
                 }
             }
         });
@@ -348,7 +355,7 @@
         } else {
             world.auditor.watching(watcher.proxy());
             watcher.begin();
-            sendUpdate(watcher);
+            sendUpdate(watcher, extraUpdateDelay);
         }
     }
 
