Discovery calls that time out stay open beside the next one: the first list counts

Change: a call that times out is reported as failed and the next one is made as before, but the last such call stays open. The first complete list of either counts, and the other call is closed. The time-out counts from the call's start, its connection included. Where the poll interval limit is under the propagation deadline of 6 s, the call is closed as before, since an open call has not failed.

--- a/src/main/java/mulleinfront/Balancer.java
+++ b/src/main/java/mulleinfront/Balancer.java
@@ -67,6 +67,14 @@
      */
     default void onDiscoveryMoved(long now, long movedAgoUs) {}
 
+    /**
+     * Discovery has answered a call that had failed by its timeout and stayed open. Any other call is closed, and the
+     * next discovery event is the list of this one.
+     *
+     * @param startedAgoUs time since that call started, microseconds
+     */
+    default void onTimedOutCallAnswered(long now, long startedAgoUs) {}
+
     /** A request arrived; it requires one final answer within its budget. */
     void onRequest(long now, Request request);
 
@@ -441,5 +449,14 @@
             Settings.require(coldUs >= 0, "contract.coldUs is negative");
             Settings.require(overloadFactor > 0, "contract.overloadFactor must be above 0");
         }
+
+        /**
+         * Whether a discovery call that has timed out may stay open for a late answer. A call that is open has not
+         * failed, so that the poll interval limit counts from its start, and not four times that limit. Where the limit
+         * is shorter than the propagation deadline, the call is closed instead.
+         */
+        public boolean unansweredCallsStayOpen() {
+            return askWithinUs >= ListDeadline.PROPAGATION_US;
+        }
     }
 }
--- a/src/main/java/mulleinfront/CallSchedule.java
+++ b/src/main/java/mulleinfront/CallSchedule.java
@@ -115,6 +115,14 @@
         deadline.called(now);
     }
 
+    /**
+     * A call that had failed by its timeout is answered now. The deadlines of the list still count from the start of
+     * the latest call.
+     */
+    void timedOutCallAnswered(long startedAt) {
+        calledAt = startedAt;
+    }
+
     /** The call was answered with a list. */
     void answered(long now) {
         responseUs = Math.min(now - calledAt, MAX_RESPONSE_GROWTH * responseUs);
--- a/src/main/java/mulleinfront/Logic.java
+++ b/src/main/java/mulleinfront/Logic.java
@@ -441,6 +441,12 @@
         scheduleNext(now);
     }
 
+    @Override
+    public void onTimedOutCallAnswered(long now, long startedAgoUs) {
+        subscription.timedOutCallAnswered(now, startedAgoUs);
+        scheduleNext(now);
+    }
+
     /** Whether the list has expired: nothing may be sent until it is renewed. */
     boolean listExpired(long now) {
         return subscription.expired(now);
--- a/src/main/java/mulleinfront/Subscription.java
+++ b/src/main/java/mulleinfront/Subscription.java
@@ -81,6 +81,14 @@
         schedule.moved(now - movedAgoUs, now);
     }
 
+    /** A call that had failed by its timeout has been answered, and takes the place of any later one. */
+    void timedOutCallAnswered(long now, long startedAgoUs) {
+        if (callsRequired && !watchOpen) {
+            callInProgress = true;
+            schedule.timedOutCallAnswered(now - startedAgoUs);
+        }
+    }
+
     private void scheduleCall(long at) {
         nextCallAt = at;
         callInProgress = false;
--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -301,6 +301,15 @@
         run(() -> balancer.onDiscoveryMoved(time.now(), movedAgoUs));
     }
 
+    /**
+     * Handles the late answer to a call that had failed by its timeout; its list follows.
+     *
+     * @param startedAgoUs time since that call started, microseconds
+     */
+    public void timedOutCallAnswered(long startedAgoUs) {
+        run(() -> balancer.onTimedOutCallAnswered(time.now(), startedAgoUs));
+    }
+
     // ---- requests ------------------------------------------------------------------------------------
 
     /**
--- a/src/main/java/mulleinfront/emulator/DiscoveryClient.java
+++ b/src/main/java/mulleinfront/emulator/DiscoveryClient.java
@@ -27,7 +27,10 @@
     private final ListVersionFilter versionFilter = new ListVersionFilter();
     private final AgentBackoff agentBackoff = new AgentBackoff();
     private long version = -1;
+    /** The latest call, or the watch that it opened; null if it has failed. */
     private Watch watch;
+    /** The last call that timed out. It stays open, since its answer may still come; null if there is none. */
+    private Watch timedOutCall;
 
     DiscoveryClient(World world, Time time, int proxy, int zone) {
         this.world = world;
@@ -56,17 +59,24 @@
     }
 
     void stop() {
-        if (watch != null) {
-            world.registry.closeWatch(watch);
-            watch.end();
-            watch = null;
+        giveUp(watch);
+        watch = null;
+        giveUp(timedOutCall);
+        timedOutCall = null;
+    }
+
+    private void giveUp(Watch call) {
+        if (call != null) {
+            world.registry.closeWatch(call);
+            call.end();
         }
     }
 
     /** Switches to a discovery service at a new address and calls it at once. */
     void discoveryMoved() {
-        if (watch != null) {
-            stop();
+        boolean callOpen = watch != null;
+        stop();
+        if (callOpen) {
             world.auditor.watchFailed(proxy, time.now(), false);
         }
         core.discoveryMoved(0);
@@ -137,7 +147,19 @@
         }
 
         void startTimeout() {
-            timeout = time.after(timeoutUs, this::onTimeout);
+            timeout = time.after(timeoutUs, this::onCallTimeout);
+        }
+
+        /** As in the socket implementation, the call stays open beside the next one if the settings permit it. */
+        private void onCallTimeout() {
+            if (world.scenario.rules().contract().unansweredCallsStayOpen()) {
+                giveUp(timedOutCall);
+                timedOutCall = this;
+                watch = null;
+                reportFailure();
+            } else {
+                onTimeout();
+            }
         }
 
         @Override
@@ -167,16 +189,29 @@
 
         @Override
         void receive(Registry.ListUpdate update) {
-            if (!over && watch == this) {
+            if (!over) {
                 if (!listReceived) {
                     cancelTimeout();
                     listReceived = true;
+                    onFirstList();
                 }
                 applyUpdate(update, update.full() ? Source.FULL : Source.DELTA);
                 world.auditor.watching(proxy);
             }
         }
 
+        /** A list has come: this is the watch from now on, and the only call. */
+        private void onFirstList() {
+            if (watch == this) {
+                giveUp(timedOutCall);
+            } else {
+                giveUp(watch);
+                watch = this;
+                core.timedOutCallAnswered(time.now() - calledAt);
+            }
+            timedOutCall = null;
+        }
+
         void end() {
             over = true;
             if (timeout != null) {
@@ -196,12 +231,19 @@
 
         @Override
         void fail() {
-            if (over || watch != this) {
+            if (over) {
                 return;
             }
-            end();
-            watch = null;
-            world.registry.closeWatch(this);
+            giveUp(this);
+            if (watch == this) {
+                watch = null;
+                reportFailure();
+            } else {
+                timedOutCall = null;
+            }
+        }
+
+        private void reportFailure() {
             world.auditor.watchFailed(proxy, time.now(), !reset && !timedOut);
             if (!world.scenario.discovery().polled()) {
                 time.after(
--- a/src/main/java/mulleinfront/emulator/Scenario.java
+++ b/src/main/java/mulleinfront/emulator/Scenario.java
@@ -299,7 +299,12 @@
             long coldForUs,
             double coldFrom,
             long coldUs,
-            long askWithinUs) {}
+            long askWithinUs) {
+        /** The parameters that client proxies are configured with. */
+        Balancer.Contract contract() {
+            return new Balancer.Contract(askWithinUs, coldFrom, coldUs, coldMultiple);
+        }
+    }
 
     /** Weights of the parts of the service score, and prices as fractions of it. */
     public record Service(
@@ -447,7 +452,7 @@
                         limits.mayProbe(),
                         limits.retryAfterUs(),
                         limits.connIdleUs()),
-                new Balancer.Contract(rules.askWithinUs(), rules.coldFrom(), rules.coldUs(), rules.coldMultiple()));
+                rules.contract());
     }
 
     /** Whether a refusal of this class is harmless after an attempt that may have run. */
--- a/src/main/java/mulleinfront/emulator/Trace.java
+++ b/src/main/java/mulleinfront/emulator/Trace.java
@@ -257,6 +257,14 @@
             balancer.onDiscoveryMoved(now, movedAgoUs);
         }
 
+        @Override
+        public void onTimedOutCallAnswered(long now, long startedAgoUs) {
+            beginLine(now, proxy, "timed-out-call-answered")
+                    .appendNumber(startedAgoUs)
+                    .end();
+            balancer.onTimedOutCallAnswered(now, startedAgoUs);
+        }
+
         @Override
         public void onRequest(long now, Request request) {
             beginLine(now, proxy, "request")
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -150,6 +150,11 @@
             public void onMoved(long movedAgoUs) {
                 core.discoveryMoved(movedAgoUs);
             }
+
+            @Override
+            public void onTimedOutCallAnswered(long startedAgoUs) {
+                core.timedOutCallAnswered(startedAgoUs);
+            }
         });
         this.frontend = new Frontend(this, lifecycle, loop, socketsPerSide, metrics);
         List<RequestClass> requestClasses = config.settings().classes();
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -47,7 +47,6 @@
      */
     private static final long MOVED_CALL_TIMEOUT_MS = 1_800;
 
-    private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final int MAX_TIMEOUT_DOUBLINGS = 2;
 
     /** Receives lists, and is notified of failed calls and watches. */
@@ -77,6 +76,13 @@
          * @param movedAgoUs how long ago the move was requested, microseconds
          */
         void onMoved(long movedAgoUs);
+
+        /**
+         * A call that had been reported as failed by its timeout is answered; its list follows.
+         *
+         * @param startedAgoUs time since that call started, microseconds
+         */
+        void onTimedOutCallAnswered(long startedAgoUs);
     }
 
     private InetSocketAddress address;
@@ -91,7 +97,13 @@
     private final ListVersionFilter versionFilter = new ListVersionFilter();
     private long version = -1;
     private boolean listApplied;
+    /** The latest call, or the watch that it opened; null if it has failed. */
     private Watch watch;
+    /** The last call that timed out. It stays open, since its answer may still come; null if there is none. */
+    private Watch timedOutCall;
+
+    private final EventLoop loop;
+    private final boolean unansweredCallsStayOpen;
     private final boolean listsPushed;
     private final long askWithinUs;
     /** Whether discovery has moved and its new address has not been called yet. */
@@ -115,6 +127,8 @@
         this.log = log;
         this.counts = counts;
         this.address = config.discovery();
+        this.loop = loop;
+        this.unansweredCallsStayOpen = config.settings().contract().unansweredCallsStayOpen();
         this.listsPushed = !config.settings().subscribe();
         this.askWithinUs = config.settings().contract().askWithinUs();
         this.upstream = upstream;
@@ -124,8 +138,7 @@
         this.bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
-                .option(ChannelOption.ALLOCATOR, Upstream.ALLOCATOR)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
+                .option(ChannelOption.ALLOCATOR, Upstream.ALLOCATOR);
     }
 
     /** The endpoint with this id, or null if it is not listed. */
@@ -145,7 +158,7 @@
     /**
      * Opens a watch for all changes since the current version, unless one is open.
      *
-     * @param timeoutUs longest time without data before the response body starts, microseconds
+     * @param timeoutUs time until the response starts after which the call has failed, microseconds
      */
     void ensureWatch(long timeoutUs) {
         if (movePending) {
@@ -170,18 +183,14 @@
             if (delayUs == 0) {
                 callNewAddress();
             } else {
-                bootstrap
-                        .config()
-                        .group()
-                        .next()
-                        .schedule(
-                                () -> {
-                                    if (movePending && address.equals(newAddress)) {
-                                        callNewAddress();
-                                    }
-                                },
-                                delayUs,
-                                TimeUnit.MICROSECONDS);
+                loop.schedule(
+                        () -> {
+                            if (movePending && address.equals(newAddress)) {
+                                callNewAddress();
+                            }
+                        },
+                        delayUs,
+                        TimeUnit.MICROSECONDS);
             }
         }
     }
@@ -206,8 +215,9 @@
     }
 
     private void openWatch(long timeoutMs) {
-        Watch opened = new Watch(timeoutMs);
+        Watch opened = new Watch();
         watch = opened;
+        loop.schedule(opened::onCallTimeout, timeoutMs, TimeUnit.MILLISECONDS);
         bootstrap.clone().handler(opened.pipeline()).connect(address).addListener(connected -> {
             if (!connected.isSuccess()) {
                 opened.fail(connected.cause());
@@ -216,11 +226,26 @@
     }
 
     void stop() {
-        if (watch != null) {
-            Watch old = watch;
-            watch = null;
-            old.logEnd("given up");
-            old.channel.close();
+        giveUpLatestCall("given up");
+        giveUpTimedOutCall("given up");
+    }
+
+    private void giveUpLatestCall(String reason) {
+        Watch old = watch;
+        watch = null;
+        giveUp(old, reason);
+    }
+
+    private void giveUpTimedOutCall(String reason) {
+        Watch old = timedOutCall;
+        timedOutCall = null;
+        giveUp(old, reason);
+    }
+
+    private static void giveUp(Watch call, String reason) {
+        if (call != null) {
+            call.logEnd(reason);
+            call.channel.close();
         }
     }
 
@@ -286,8 +311,8 @@
         /** The newest version that this watch has sent. */
         private long newestVersion = -1;
 
-        Watch(long timeoutMs) {
-            this.readTimeout = new WatchReadTimeout(timeoutMs, listTimeoutMs(), this::onBodyStarted);
+        Watch() {
+            this.readTimeout = new WatchReadTimeout(listTimeoutMs(), this::onBodyStarted);
             log.callStarted(callNumber, address, version);
             counts.add(Metrics.Discovery.CALL);
         }
@@ -317,13 +342,51 @@
                     StandardCharsets.US_ASCII));
         }
 
+        /** Whether data that comes is of use: neither has this failed, nor has another one been answered. */
+        private boolean isOpen() {
+            return watch == this || timedOutCall == this;
+        }
+
+        /**
+         * The call has failed unless its response has started. It may wait in discovery's queue, though, and would lose
+         * its place there: it stays open beside the next call, and the first answer counts.
+         */
+        private void onCallTimeout() {
+            if (watch != this || readTimeout.hasReceivedData()) {
+                return;
+            }
+            if (unansweredCallsStayOpen) {
+                giveUpTimedOutCall("a later call timed out as well");
+                timedOutCall = this;
+                fail(new IOException("it has timed out and stays open"));
+            } else {
+                fail(new IOException("it has timed out"));
+                channel.close();
+            }
+        }
+
+        /** A list has come: this is the watch from now on, and the only call. */
+        private void onFirstList(ChannelHandlerContext ctx) {
+            listReceived = true;
+            incompleteListCalls = 0;
+            readTimeout.onFirstList(ctx);
+            if (watch == this) {
+                giveUpTimedOutCall("a later call was answered");
+            } else {
+                timedOutCall = null;
+                giveUpLatestCall("an earlier call was answered");
+                watch = this;
+                listener.onTimedOutCallAnswered(TimeUnit.MILLISECONDS.toMicros(elapsedMs()));
+            }
+        }
+
         /** The response body has started, perhaps with a heartbeat only: the list must follow within its timeout. */
         private void onBodyStarted() {
             log.callAnswered(callNumber, elapsedMs());
             channel.eventLoop()
                     .schedule(
                             () -> {
-                                if (!listReceived && watch == this) {
+                                if (!listReceived && isOpen()) {
                                     channel.pipeline().fireExceptionCaught(new IOException("no list came"));
                                 }
                             },
@@ -333,12 +396,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf json) throws IOException {
-            if (watch == this) {
+            if (isOpen()) {
                 EndpointList listing = EndpointList.parse(ByteBufUtil.getBytes(json));
                 if (!listReceived) {
-                    listReceived = true;
-                    incompleteListCalls = 0;
-                    readTimeout.onFirstList(ctx);
+                    onFirstList(ctx);
                 }
                 // A full list replaces the current one, unless this watch has already sent a newer version.
                 if (!listing.full() || listing.version() >= newestVersion) {
@@ -377,7 +438,7 @@
         }
 
         /**
-         * Reports the failure. The message for people is only written for a watch that had worked, since calls keep
+         * Reports the failure, unless this had timed out and has been reported. The message for people is only written for a watch that had worked, since calls keep
          * failing while discovery is unreachable.
          */
         void fail(Throwable cause) {
@@ -389,9 +450,7 @@
                             + " failed: " + cause);
                 }
                 counts.add(readTimeout.bodyStarted() ? Metrics.Discovery.WATCH_LOST : Metrics.Discovery.CALL_FAILED);
-                if (readTimeout.bodyStarted() && !listReceived) {
-                    incompleteListCalls = Math.min(incompleteListCalls + 1, MAX_TIMEOUT_DOUBLINGS);
-                }
+                countIncompleteList();
                 if (!readTimeout.bodyStarted()) {
                     listener.onCallFailed(isUnreachable(cause));
                 } else if (endedByDiscovery) {
@@ -399,6 +458,16 @@
                 } else {
                     listener.onWatchLost(readTimeout.idleUs());
                 }
+            } else if (timedOutCall == this) {
+                timedOutCall = null;
+                logEnd(cause);
+                countIncompleteList();
+            }
+        }
+
+        private void countIncompleteList() {
+            if (readTimeout.bodyStarted() && !listReceived) {
+                incompleteListCalls = Math.min(incompleteListCalls + 1, MAX_TIMEOUT_DOUBLINGS);
             }
         }
     }
--- a/src/main/java/mulleinfront/proxy/WatchReadTimeout.java
+++ b/src/main/java/mulleinfront/proxy/WatchReadTimeout.java
@@ -8,11 +8,11 @@
 import mulleinfront.core.Wire;
 
 /**
- * The read timeout of a discovery call and of the watch that it opens. It has three stages: until the response body
- * starts (discovery may queue the call), until the first list is complete, and then the heartbeat timeout.
+ * The read timeout of a discovery call's response and of the watch that it becomes. It has three stages: from the first
+ * byte until the response body starts, until the first list is complete, and then the heartbeat timeout. A call that
+ * has no response yet has no read timeout.
  */
 final class WatchReadTimeout extends ChannelInboundHandlerAdapter {
-    private final long callTimeoutMs;
     private final long listTimeoutMs;
     private ReadTimeoutHandler timer;
     private final Runnable onBodyStarted;
@@ -20,12 +20,11 @@
     private long lastReadNanos;
 
     /**
-     * @param callTimeoutMs longest time without data before the response body starts, milliseconds
-     * @param listTimeoutMs longest time without data until the first list is complete, milliseconds
+     * @param listTimeoutMs longest time from the first byte until the body starts, and from then on without data until
+     *     the first list is complete, milliseconds
      * @param onBodyStarted run when the first bytes of the response body have been read
      */
-    WatchReadTimeout(long callTimeoutMs, long listTimeoutMs, Runnable onBodyStarted) {
-        this.callTimeoutMs = callTimeoutMs;
+    WatchReadTimeout(long listTimeoutMs, Runnable onBodyStarted) {
         this.listTimeoutMs = listTimeoutMs;
         this.onBodyStarted = onBodyStarted;
     }
@@ -46,12 +45,6 @@
         return elapsedUs > Wire.HEARTBEAT_US ? elapsedUs : 0;
     }
 
-    @Override
-    public void handlerAdded(ChannelHandlerContext ctx) {
-        timer = new ReadTimeoutHandler(callTimeoutMs, TimeUnit.MILLISECONDS);
-        ctx.pipeline().addFirst(timer);
-    }
-
     /** The response's head must be complete within the timeout of the list, however many reads it takes. */
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object msg) {
@@ -84,7 +77,11 @@
 
     private void restartTimer(ChannelHandlerContext ctx, long timeoutMs) {
         ReadTimeoutHandler replacement = new ReadTimeoutHandler(timeoutMs, TimeUnit.MILLISECONDS);
-        ctx.pipeline().replace(timer, null, replacement);
+        if (timer == null) {
+            ctx.pipeline().addFirst(replacement);
+        } else {
+            ctx.pipeline().replace(timer, null, replacement);
+        }
         timer = replacement;
     }
 }
--- a/src/test/java/mulleinfront/ExpiredListTest.java
+++ b/src/test/java/mulleinfront/ExpiredListTest.java
@@ -96,4 +96,35 @@
         rig.advance(2_000);
         assertNull(rig.endpointOf(rig.request(RETRYABLE, "after", BUDGET_US)));
     }
+
+    /** Guards against ignoring the list of a call that is answered after its timeout, before the next call. */
+    @Test
+    void lateAnswerRenewsTheListBeforeTheNextCall() {
+        rig.balancer.onDiscoveryFailed(rig.now, 0);
+        while (rig.subscribes < 2) {
+            rig.advance(10_000);
+        }
+        long waitedUs = 1_200_000;
+        rig.advance(waitedUs);
+        rig.balancer.onDiscoveryFailed(rig.now);
+        assertEquals(2, rig.subscribes, "the next call is made later");
+        rig.balancer.onTimedOutCallAnswered(rig.now, waitedUs);
+        rig.endpoints(4);
+        rig.advance(2 * ListDeadline.PROPAGATION_US);
+        assertEquals(2, rig.subscribes, "a watch is open, so that no call is made");
+        assertNotNull(rig.endpointOf(rig.request(RETRYABLE, "a", BUDGET_US)));
+    }
+
+    /** A late answer that brings no list does not renew the list. */
+    @Test
+    void lateAnswerWithoutAListRenewsNothing() {
+        rig.balancer.onDiscoveryFailed(rig.now, 0);
+        long lostAt = rig.now;
+        rig.advance(1_000_000);
+        rig.balancer.onDiscoveryFailed(rig.now);
+        rig.balancer.onTimedOutCallAnswered(rig.now, CallSchedule.MAX_CALL_TIMEOUT_US);
+        rig.balancer.onDiscoveryFailed(rig.now, 0);
+        rig.advance(lostAt + ListDeadline.PROPAGATION_US + 1_000 - rig.now);
+        assertNull(rig.endpointOf(rig.request(RETRYABLE, "a", BUDGET_US)));
+    }
 }
--- a/src/test/java/mulleinfront/proxy/ProxyTestBase.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTestBase.java
@@ -64,6 +64,11 @@
             listEvents.add("unreachable");
         }
 
+        @Override
+        public void onTimedOutCallAnswered(long now, long startedAgoUs) {
+            listEvents.add("answered late");
+        }
+
         @Override
         public void onRequest(long now, Request request) {
             onRequest.accept(request);
