--- a/src/test/java/mulleinfront/proxy/BodiesTest.java
+++ b/src/test/java/mulleinfront/proxy/BodiesTest.java
@@ -203,6 +203,22 @@
         assertEquals(200, client.getSafe("b", 20_000).readHead().status());
     }
 
+    /** Writes pieces to a client's connection in a thread of their own, until the last one or the connection's end. */
+    private static void writeInBackground(Client client, byte[] piece, int pieces, AtomicLong writtenBytes) {
+        Thread writer = new Thread(() -> {
+            try {
+                for (int i = 0; i < pieces; i++) {
+                    client.socket.getOutputStream().write(piece);
+                    writtenBytes.addAndGet(piece.length);
+                }
+            } catch (IOException closed) {
+                // the proxy has answered and closed the connection, or the test has ended
+            }
+        });
+        writer.setDaemon(true);
+        writer.start();
+    }
+
     @Test
     void clientIsReadAtTheEndpointsPace() throws Exception {
         try (ServerSocket slow = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
@@ -212,18 +228,7 @@
                     connectClient().write(postHead("a", 20_000, "Content-Length: " + EXCEEDS_BUFFERS_BYTES + "\r\n"));
             AtomicLong written = new AtomicLong();
             byte[] piece = randomBytes(100_000);
-            Thread writer = new Thread(() -> {
-                try {
-                    for (int i = 0; i < EXCEEDS_BUFFERS_BYTES / piece.length; i++) {
-                        client.socket.getOutputStream().write(piece);
-                        written.addAndGet(piece.length);
-                    }
-                } catch (IOException e) {
-                    // closed at the end of a failed test
-                }
-            });
-            writer.setDaemon(true);
-            writer.start();
+            writeInBackground(client, piece, EXCEEDS_BUFFERS_BYTES / piece.length, written);
             try (Socket host = slow.accept()) {
                 long before;
                 do {
@@ -388,6 +393,11 @@
         assertThrows(SocketTimeoutException.class, later.in::read, "a response before its client's deadline continues");
     }
 
+    /** Interval between two reads or writes of a slow client. */
+    private static final long PACE_MS = 20;
+
+    private static final int SLOWLY_READ_BYTES = 10_000;
+
     /** The ways in which a server may send a response that never ends. */
     enum EndlessResponse {
         SLOW_CHUNKS("Transfer-Encoding: chunked\r\n\r\n", "5\r\nabcde\r\n", 20),
@@ -462,6 +472,41 @@
         }
     }
 
+    /** Guards against lost requests: a client that reads slowly may not keep its response open beyond its deadline. */
+    @Test
+    void responseThatItsClientReadsSlowlyIsAborted() throws Exception {
+        startWithServer(request -> {
+            request.write("HTTP/1.1 200 OK\r\nContent-Length: " + EXCEEDS_BUFFERS_BYTES + "\r\n\r\n");
+            writeBytes(request, new byte[EXCEEDS_BUFFERS_BYTES]);
+        });
+        Client client = connectClient().getSafe("a", 500);
+        assertEquals(200, client.readHead().status());
+        assertThrows(IOException.class, () -> {
+            for (int read = 0; read < EXCEEDS_BUFFERS_BYTES; read += SLOWLY_READ_BYTES) {
+                client.in.readNBytes(SLOWLY_READ_BYTES);
+                Thread.sleep(PACE_MS);
+            }
+        });
+    }
+
+    /** Guards against connections that stay open for ever: what a client sends does not show that it reads. */
+    @Test
+    void clientThatSendsAndDoesNotReadIsClosed() throws Exception {
+        int responseBytes = 60_000;
+        startWithServer(request -> request.respondOk("x".repeat(responseBytes)));
+        Client client = connectClient();
+        for (int i = 0; i < EXCEEDS_BUFFERS_BYTES / responseBytes; i++) {
+            client.getSafe("id" + i, 60_000);
+        }
+        long limitNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(StandIns.TIMEOUT_S);
+        assertThrows(IOException.class, () -> {
+            while (System.nanoTime() < limitNanos) {
+                client.socket.getOutputStream().write('G');
+                Thread.sleep(PACE_MS);
+            }
+        });
+    }
+
     /** Guards against an unanswered close: the client has sent all of its request, which its endpoint does not take. */
     @Test
     void requestThatItsEndpointDoesNotReadFailsAtItsDeadline() throws Exception {
@@ -470,15 +515,7 @@
             balancer.onRequest = request -> balancer.actions.send(request.id(), "s", 0);
             Client client =
                     connectClient().write(postHead("a", 500, "Content-Length: " + EXCEEDS_BUFFERS_BYTES + "\r\n"));
-            Thread writer = new Thread(() -> {
-                try {
-                    client.socket.getOutputStream().write(new byte[EXCEEDS_BUFFERS_BYTES]);
-                } catch (IOException e) {
-                    // the proxy has answered and closed the connection
-                }
-            });
-            writer.setDaemon(true);
-            writer.start();
+            writeInBackground(client, new byte[EXCEEDS_BUFFERS_BYTES], 1, new AtomicLong());
             assertEquals(504, client.read().status());
         }
     }
