--- a/src/main/java/mulleinfront/core/Metrics.java
+++ b/src/main/java/mulleinfront/core/Metrics.java
@@ -52,6 +52,16 @@
         LIST_OVERDUE
     }
 
+    /** Why the proxy itself answered a client's request with an error, before the request was accepted. */
+    public enum ClientError {
+        /** The connection held more than its share of the memory. */
+        MEMORY,
+        /** The request could not be read, or the protocol does not allow it. */
+        UNREADABLE,
+        /** The rest of the request did not arrive in time. */
+        TIMED_OUT
+    }
+
     /** Checks of the invariants: actions that were prevented, and violations. */
     public final RuleGuard ruleGuard = new RuleGuard();
 
@@ -63,6 +73,7 @@
 
     public final EnumCounts<Close> clientCloses = new EnumCounts<>(Close.class);
     public final EnumCounts<Close> endpointCloses = new EnumCounts<>(Close.class);
+    public final EnumCounts<ClientError> clientErrors = new EnumCounts<>(ClientError.class);
     public final EnumCounts<Discovery> discovery = new EnumCounts<>(Discovery.class);
 
     /** Returns all counters above 0 on one line, such as {@code answers.served=12 retries.reset=1}. */
@@ -73,6 +84,7 @@
         retries.appendTo(out, "retries");
         clientCloses.appendTo(out, "client_closes");
         endpointCloses.appendTo(out, "endpoint_closes");
+        clientErrors.appendTo(out, "client_errors");
         discovery.appendTo(out, "discovery");
         ruleGuard.appendTo(out);
         return out.length() == 0 ? "none" : out.substring(1);
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -6,8 +6,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.NetUtil;
 import io.netty.util.concurrent.Future;
@@ -19,7 +17,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -29,7 +26,6 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import mulleinfront.Balancer;
-import mulleinfront.Balancer.Effect;
 import mulleinfront.Balancer.Endpoint;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.Balancer.RequestClass;
@@ -37,6 +33,7 @@
 import mulleinfront.core.AgentBackoff;
 import mulleinfront.core.Core;
 import mulleinfront.core.LifecycleState;
+import mulleinfront.core.MemoryAccount;
 import mulleinfront.core.Metrics;
 import mulleinfront.core.Time;
 import mulleinfront.core.UnservedCounts;
@@ -93,6 +90,7 @@
     private final Metrics metrics = new Metrics();
     private final AgentBackoff agentBackoff = new AgentBackoff();
     private final EventLog log;
+    private final MemoryAccount memory;
     private String loggedMetrics = metrics.summary();
     /** The listening socket that the process inherited, until the proxy accepts on it; else null. */
     private ServerSocketChannel inheritedSocket;
@@ -106,7 +104,10 @@
     /** The address of discovery in this process's own configuration. */
     private InetSocketAddress configuredDiscovery;
 
-    private ClientProxy(Config config, EventLoopGroup group) {
+    /**
+     * @param processes number of processes that share the platform's memory limit
+     */
+    private ClientProxy(Config config, EventLoopGroup group, int processes) {
         this.config = config;
         this.configuredDiscovery = config.discovery();
         this.group = group;
@@ -114,12 +115,15 @@
         this.log = new EventLog(config.settings().instanceNumber());
         this.lifecycle = new LifecycleState(log::stateChanged);
         int socketsPerSide = Math.max(1, (config.maxSockets() - RESERVED_SOCKETS) / 2);
+        this.memory = new MemoryAccount(
+                MemoryAccount.limitBytes(config.memoryMb(), config.maxSockets(), processes) / config.loops());
         this.upstream = new Upstream(
                 loop,
                 config.dialTimeoutUs(),
                 config.settings().limits().connIdleUs(),
                 socketsPerSide,
                 this::maxIdleConnections,
+                memory,
                 metrics);
         this.core = new Core<>(
                 config.settings(), new LoopTime(), new SocketWire(), ClientProxy::logUnexpectedException, metrics);
@@ -156,7 +160,7 @@
                 core.timedOutCallAnswered(startedAgoUs);
             }
         });
-        this.frontend = new Frontend(this, lifecycle, loop, socketsPerSide, metrics);
+        this.frontend = new Frontend(this, lifecycle, loop, socketsPerSide, memory, metrics);
         List<RequestClass> requestClasses = config.settings().classes();
         for (int i = 0; i < requestClasses.size(); i++) {
             classIndexes.put(requestClasses.get(i).name(), i);
@@ -290,7 +294,7 @@
         }
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Channel listener = null;
-        ClientProxy proxy = new ClientProxy(config, group);
+        ClientProxy proxy = new ClientProxy(config, group, 1);
         try {
             proxy.core.createBalancer((settings, seed, now, actions) -> WarmUp.loopbackBalancer(actions), 0);
             listener = proxy.bindWithRetry(
@@ -353,7 +357,8 @@
             Consumer<ClientProxy> onCreated,
             EventLoopGroup group)
             throws Exception {
-        ClientProxy proxy = new ClientProxy(config, group);
+        // A listening socket is inherited where the platform upgrades: two processes run under one limit for a while.
+        ClientProxy proxy = new ClientProxy(config, group, inheritedSocket == null ? 1 : 2);
         onCreated.accept(proxy);
         proxy.loop.submit(() -> proxy.begin(balancerFactory, inheritedSocket)).get();
         if (inheritedSocket == null) {
@@ -570,7 +575,7 @@
         String current = metrics.summary();
         if (!current.equals(loggedMetrics)) {
             loggedMetrics = current;
-            log.metrics(current);
+            log.metrics(current, memory.peakBytes());
         }
     }
 
@@ -669,39 +674,31 @@
      * @param remainingBody the rest of the body, streamed as it arrives; null if there is none
      * @param receivedAtUs when the request arrived, microseconds on the clock of {@link #now}
      */
-    void accept(Frontend.Client client, HttpRequest request, byte[] body, BodyStream remainingBody, long receivedAtUs) {
-        HttpHeaders headers = request.headers();
-        String id = singleValue(headers, "X-Request-Id");
-        Integer classIndex = classIndexes.get(singleValue(headers, "X-Class"));
-        long deadlineMs = Framing.parseDigits(singleValue(headers, RequestMessage.DEADLINE_HEADER));
-        String tenantName = singleValue(headers, "X-Tenant");
-        int tenant = tenantName == null ? -1 : config.tenants().indexOf(tenantName);
-        boolean tenantKnown = !headers.contains("X-Tenant") || config.tenants().isEmpty() || tenant >= 0;
-        boolean idUnused = id != null && !id.isEmpty() && !core.isOpen(id);
+    void accept(Frontend.Client client, RequestHead head, byte[] body, BodyStream remainingBody, long receivedAtUs) {
+        Integer classIndex = classIndexes.get(head.requestClass());
+        int tenant = head.tenant() == null ? -1 : config.tenants().indexOf(head.tenant());
+        boolean tenantKnown = !head.tenantStated() || config.tenants().isEmpty() || tenant >= 0;
+        boolean idUnused = head.id() != null && !head.id().isEmpty() && !core.isOpen(head.id());
         if (!idUnused
                 || classIndex == null
-                || deadlineMs < 1
+                || head.deadlineMs() < 1
                 || !tenantKnown
-                || config.settings().classes().get(classIndex).effect() != effectOf(request, body)) {
+                || config.settings().classes().get(classIndex).effect() != head.effect(body.length)) {
             client.answer(HttpResponseStatus.BAD_REQUEST);
             return;
         }
-        String key = singleValue(headers, "X-Key");
-        if (key == null && headers.contains("X-Key")) {
-            key = String.join(",", headers.getAll("X-Key"));
-        }
-        RequestMessage message = RequestMessage.of(request, body);
+        RequestMessage message = RequestMessage.of(head, body);
         core.accept(
                 client,
-                id,
+                head.id(),
                 classIndex,
-                key,
-                deadlineMs,
+                head.key(),
+                head.deadlineMs(),
                 receivedAtUs,
-                Math.max(0, Framing.parseDigits(headers.get("X-Cost-Hint"))),
+                head.expectedUs(),
                 tenant,
-                "1".equals(headers.get("X-Retry")),
-                remainingBody == null ? message : message.withRemainingBody(remainingBody, deadlineMs),
+                head.repeat(),
+                remainingBody == null ? message : message.withRemainingBody(remainingBody, head.deadlineMs()),
                 remainingBody != null);
     }
 
@@ -750,36 +747,4 @@
     void abandoned(Core.RequestHandle<RequestMessage, Upstream.Answer> handle) {
         core.abandoned(handle);
     }
-
-    /** The effect of a repeat according to the method and headers; null if the request is invalid by the protocol. */
-    private static Effect effectOf(HttpRequest request, byte[] body) {
-        Iterator<String> idempotencyKeys = request.headers().valueStringIterator("Idempotency-Key");
-        boolean hasKey = idempotencyKeys.hasNext() && idempotencyKeys.next() != null;
-        if (idempotencyKeys.hasNext() || !isPrintable(request.uri())) {
-            return null;
-        }
-        return switch (request.method().name()) {
-            case "GET" -> body.length == 0 && !hasKey ? Effect.RETRYABLE : null;
-            case "POST" -> hasKey ? Effect.DEDUP : Effect.FRAGILE;
-            default -> null;
-        };
-    }
-
-    private static boolean isPrintable(String uri) {
-        for (int i = 0; i < uri.length(); i++) {
-            if (uri.charAt(i) <= ' ' || uri.charAt(i) >= 0x7f) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    /**
-     * The value of a header that occurs once; null if it is missing or repeated, since repeated values are ambiguous.
-     */
-    private static String singleValue(HttpHeaders headers, CharSequence name) {
-        Iterator<String> values = headers.valueStringIterator(name);
-        String first = values.hasNext() ? values.next() : null;
-        return values.hasNext() ? null : first;
-    }
 }
--- a/src/main/java/mulleinfront/proxy/EventLog.java
+++ b/src/main/java/mulleinfront/proxy/EventLog.java
@@ -111,8 +111,12 @@
                 .append(requestId));
     }
 
-    /** The counters since the start. */
-    void metrics(String summary) {
-        write(event("metrics").append(' ').append(summary));
+    /** The counters since the start, and the most memory that was held for clients and endpoints at one time. */
+    void metrics(String summary, long peakHeldBytes) {
+        write(event("metrics")
+                .append(' ')
+                .append(summary)
+                .append(" memory.held_peak=")
+                .append(peakHeldBytes));
     }
 }
--- a/src/main/java/mulleinfront/proxy/Framing.java
+++ b/src/main/java/mulleinfront/proxy/Framing.java
@@ -3,14 +3,21 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -26,6 +33,9 @@
     static final int MAX_BUFFERED_BODY_BYTES = 64 * 1024;
 
     static final byte[] NO_BYTES = {};
+    /** Memory of a decoded field besides its text. */
+    private static final int DECODED_FIELD_BYTES = 128;
+
     private static final HttpDecoderConfig STRICT = new HttpDecoderConfig()
             .setStrictLineParsing(true)
             .setMaxChunkSize(MAX_BUFFERED_BODY_BYTES)
@@ -33,22 +43,144 @@
 
     private Framing() {}
 
+    /** Called with what a decoder holds. */
+    interface HeldBytes {
+        /**
+         * The number of bytes held has changed.
+         *
+         * @param change the change, negative when bytes are released
+         */
+        void add(int change);
+
+        /** Returns how many bytes this connection may hold in all. */
+        long allowance();
+    }
+
+    /**
+     * Decodes the head of a message when all of it has arrived, and counts the bytes that wait until then. Bytes behind
+     * unreadable ones are dropped.
+     */
+    private static final class WholeHeads {
+        private final HeadScanner scanner = new HeadScanner();
+        private final HeldBytes held;
+        private boolean betweenMessages = true;
+        private boolean unreadable;
+        private int heldBytes;
+        private int trailerBytes;
+
+        WholeHeads(HeldBytes held) {
+            this.held = held;
+        }
+
+        /** Whether the codec may decode: a whole head has arrived, or its body is being read. */
+        boolean mayDecode(ByteBuf in, List<Object> out) {
+            if (unreadable) {
+                in.skipBytes(in.readableBytes());
+                return false;
+            }
+            if (!betweenMessages) {
+                return true;
+            }
+            HeadScanner.Result result = scanner.scan(in);
+            if (result == HeadScanner.Result.COMPLETE) {
+                scanner.reset();
+                return true;
+            }
+            if (result != HeadScanner.Result.INCOMPLETE) {
+                unreadable = true;
+                in.skipBytes(in.readableBytes());
+                out.add(unreadable(errorOf(result)));
+            }
+            return false;
+        }
+
+        private static Exception errorOf(HeadScanner.Result result) {
+            return switch (result) {
+                case START_LINE_TOO_LONG ->
+                    new TooLongHttpLineException("start line of more than " + HeadScanner.MAX_START_LINE_BYTES);
+                case FIELDS_TOO_LONG ->
+                    new TooLongHttpHeaderException("head of more than " + HeadScanner.MAX_HEAD_BYTES);
+                default -> new IllegalArgumentException("not a line of a head");
+            };
+        }
+
+        private static HttpObject unreadable(Exception cause) {
+            HttpContent content = new DefaultHttpContent(Unpooled.EMPTY_BUFFER);
+            content.setDecoderResult(DecoderResult.failure(cause));
+            return content;
+        }
+
+        /** Notes what the codec has decoded. */
+        void decoded(List<Object> out) {
+            Object last = out.isEmpty() ? null : out.get(out.size() - 1);
+            if (last instanceof LastHttpContent) {
+                betweenMessages = true;
+                held.add(-trailerBytes);
+                trailerBytes = 0;
+            } else if (last instanceof HttpMessage) {
+                betweenMessages = false;
+            }
+        }
+
+        /** A line of fields is decoded: behind a head it is a trailer, which the codec keeps until the last one. */
+        void fieldDecoded(int lineBytes) {
+            if (!betweenMessages) {
+                int bytes = lineBytes + DECODED_FIELD_BYTES;
+                trailerBytes += bytes;
+                held.add(bytes);
+                if (trailerBytes > held.allowance()) {
+                    throw new TooLongHttpHeaderException("trailers");
+                }
+            }
+        }
+
+        /** Counts the bytes that the decoder keeps after a read. */
+        void count(int bytes) {
+            held.add(bytes - heldBytes);
+            heldBytes = bytes;
+        }
+
+        void release() {
+            count(0);
+            held.add(-trailerBytes);
+            trailerBytes = 0;
+        }
+    }
+
     /** Decodes HTTP requests and rejects those with ambiguous framing. */
     static class RequestDecoder extends HttpRequestDecoder {
         private final Runnable onRead;
+        private final WholeHeads wholeHeads;
 
         /**
          * @param onRead run whenever bytes have been read, before they are decoded
+         * @param held counts what the decoder holds
          */
-        RequestDecoder(Runnable onRead) {
+        RequestDecoder(Runnable onRead, HeldBytes held) {
             super(STRICT);
             this.onRead = onRead;
+            this.wholeHeads = new WholeHeads(held);
         }
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object data) throws Exception {
             onRead.run();
             super.channelRead(ctx, data);
+            wholeHeads.count(actualReadableBytes() > 0 ? internalBuffer().capacity() : 0);
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            if (wholeHeads.mayDecode(in, out)) {
+                super.decode(ctx, in, out);
+                wholeHeads.decoded(out);
+            }
+        }
+
+        @Override
+        protected void handlerRemoved0(ChannelHandlerContext ctx) throws Exception {
+            wholeHeads.release();
+            super.handlerRemoved0(ctx);
         }
 
         @Override
@@ -59,14 +191,19 @@
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
             requireColon(line, start + length);
+            wholeHeads.fieldDecoded(length);
             return super.splitHeaderName(line, start, length);
         }
     }
 
     /** Decodes HTTP responses and rejects those with ambiguous framing. */
     static class ResponseDecoder extends HttpResponseDecoder {
-        ResponseDecoder() {
+        private final WholeHeads wholeHeads;
+
+        /** @param held counts what the decoder holds */
+        ResponseDecoder(HeldBytes held) {
             super(STRICT);
+            this.wholeHeads = new WholeHeads(held);
         }
 
         /** Whether bytes have been read that are not part of a complete message yet. */
@@ -74,6 +211,26 @@
             return actualReadableBytes() > 0;
         }
 
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object data) throws Exception {
+            super.channelRead(ctx, data);
+            wholeHeads.count(actualReadableBytes() > 0 ? internalBuffer().capacity() : 0);
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            if (wholeHeads.mayDecode(in, out)) {
+                super.decode(ctx, in, out);
+                wholeHeads.decoded(out);
+            }
+        }
+
+        @Override
+        protected void handlerRemoved0(ChannelHandlerContext ctx) throws Exception {
+            wholeHeads.release();
+            super.handlerRemoved0(ctx);
+        }
+
         @Override
         protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
             throw new IllegalArgumentException("both Transfer-Encoding and Content-Length");
@@ -82,6 +239,7 @@
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
             requireColon(line, start + length);
+            wholeHeads.fieldDecoded(length);
             return super.splitHeaderName(line, start, length);
         }
     }
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -3,13 +3,13 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
@@ -22,8 +22,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
@@ -40,7 +38,9 @@
 import mulleinfront.core.Core;
 import mulleinfront.core.EnumCounts;
 import mulleinfront.core.LifecycleState;
+import mulleinfront.core.MemoryAccount;
 import mulleinfront.core.Metrics;
+import mulleinfront.core.Metrics.ClientError;
 import mulleinfront.core.Metrics.Close;
 import mulleinfront.core.ResponseHandler;
 import mulleinfront.core.RuleGuard;
@@ -54,19 +54,15 @@
  * connection.
  */
 final class Frontend {
-    /**
-     * Limit of the bytes buffered for one client that pipelines requests. Reading goes on beyond it, since a client's
-     * close is seen only after all that it sent; but these requests are dropped, and refused in their turn.
-     */
-    private static final int MAX_PIPELINED_BYTES = 16 * Framing.MAX_BUFFERED_BODY_BYTES;
-    /** Limit of the bytes buffered for all clients together. */
-    private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+    /** Limit of the bytes of a streamed request that are read before its attempt takes them. */
+    private static final int MAX_UPLOAD_BUFFER_BYTES = 16 * Framing.MAX_BUFFERED_BODY_BYTES;
+    /** Size of a read: small at first, since most requests are, and larger while more arrives. */
+    private static final int MIN_READ_BYTES = 512;
 
-    private static final int READ_BYTES = 8 * 1024;
+    private static final int FIRST_READ_BYTES = 2 * 1024;
+    private static final int MAX_READ_BYTES = 8 * 1024;
     /** Connections that the operating system queues before the proxy accepts them. */
     private static final int ACCEPT_BACKLOG = 1024;
-    /** Approximate memory of a waiting request besides its body. */
-    private static final int REQUEST_OVERHEAD_BYTES = 1024;
     /**
      * Idle timeout of a connection without an open request: the protocol allows a close after 2 s, and requires it
      * within 3 s for a client that sends nothing or never completes a request.
@@ -112,6 +108,7 @@
     private final ChannelGroup clients;
     private final int maxClients;
     private final EnumCounts<Close> closes;
+    private final EnumCounts<ClientError> errors;
     private final RuleGuard guard;
     /** Connections without an open request or with a response being written; the least recently active first. */
     private final LinkedHashSet<Client> idle = new LinkedHashSet<>();
@@ -120,7 +117,7 @@
     /** Connections with a streamed request or response. */
     private final LinkedHashSet<Client> streaming = new LinkedHashSet<>();
 
-    private long bufferedBytes;
+    private final MemoryAccount memory;
     private final LoopStall stall = new LoopStall(TimeUnit.MILLISECONDS.toMicros(SWEEP_INTERVAL_MS), System.nanoTime());
     private final LifecycleState lifecycle;
     private ClientChannel.Listener listener;
@@ -130,10 +127,18 @@
     private long readDeadlineNanos;
     private long answerDeadlineNanos;
 
-    Frontend(ClientProxy proxy, LifecycleState lifecycle, EventLoop loop, int maxClients, Metrics metrics) {
+    Frontend(
+            ClientProxy proxy,
+            LifecycleState lifecycle,
+            EventLoop loop,
+            int maxClients,
+            MemoryAccount memory,
+            Metrics metrics) {
         this.closes = metrics.clientCloses;
+        this.errors = metrics.clientErrors;
         this.guard = metrics.ruleGuard;
         this.maxClients = maxClients;
+        this.memory = memory;
         this.proxy = proxy;
         this.lifecycle = lifecycle;
         this.loop = loop;
@@ -147,8 +152,8 @@
      * @param managedProcess handles operators' commands where the address is the management address; else null
      */
     ChannelFuture listen(InetSocketAddress address, boolean reusePort, CommandHandler.Process managedProcess) {
-        ServerBootstrap serverBootstrap = bootstrap(managedProcess)
-                .channelFactory(() -> new ClientChannel.Listener(null, this::addBufferedBytes));
+        ServerBootstrap serverBootstrap =
+                bootstrap(managedProcess).channelFactory(() -> new ClientChannel.Listener(null, memory::add));
         if (reusePort) {
             serverBootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
@@ -160,7 +165,7 @@
     /** Accepts on an inherited listening socket. */
     void acceptOn(ServerSocketChannel inheritedSocket) {
         listener = (ClientChannel.Listener) bootstrap(null)
-                .channelFactory(() -> new ClientChannel.Listener(inheritedSocket, this::addBufferedBytes))
+                .channelFactory(() -> new ClientChannel.Listener(inheritedSocket, memory::add))
                 .register()
                 .channel();
     }
@@ -175,7 +180,9 @@
                 .option(ChannelOption.ALLOCATOR, Upstream.ALLOCATOR)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .childOption(ChannelOption.ALLOCATOR, Upstream.ALLOCATOR)
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(READ_BYTES))
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Upstream.WRITE_WATER_MARK)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -193,7 +200,7 @@
 
     private void serve(Channel channel) {
         Client client = new Client(channel);
-        channel.pipeline().addLast(new Framing.RequestDecoder(client::onBytesRead), client);
+        channel.pipeline().addLast(new Framing.RequestDecoder(client::onBytesRead, client), client);
         admit(channel, client);
     }
 
@@ -256,10 +263,6 @@
         }
     }
 
-    private void addBufferedBytes(int bytes) {
-        bufferedBytes += bytes;
-    }
-
     int port() {
         return ((InetSocketAddress) listener.localAddress()).getPort();
     }
@@ -305,12 +308,19 @@
 
     /** One connection of the application. */
     final class Client extends SimpleChannelInboundHandler<HttpObject>
-            implements ResponseHandler<RequestMessage, Upstream.Answer> {
+            implements ResponseHandler<RequestMessage, Upstream.Answer>, Framing.HeldBytes {
         private final ClientChannel channel;
         private final ArrayDeque<PendingRequest> pipelined = new ArrayDeque<>();
-        private int pipelinedBytes;
+        /** All that the proxy holds for this connection: requests in part, waiting and open, and unwritten answers. */
+        private long heldBytes;
+        /** The part that belongs to its requests. */
+        private long requestBytes;
+        /** The part that waits to be written. */
+        private int unwrittenBytes;
         /** The part of these bytes that belongs to the open request's streamed body, until it is being sent. */
         private int uploadBytes;
+        /** The part that belongs to the open request. */
+        private int openBytes;
         /** The streamed body of the open request; null if there is none. */
         private BodyStream upload;
         /** The streamed body of its response; null if there is none. */
@@ -320,7 +330,7 @@
         /** When the response being written has to be complete, microseconds on the proxy's clock. */
         private long responseDueUs = Long.MAX_VALUE;
         /** The request being read, and its body so far. */
-        private HttpRequest head;
+        private RequestHead head;
 
         private ByteBuf body;
         private long bodyBytes;
@@ -349,7 +359,7 @@
 
         /** A request as read; or the error status for unreadable input; or a number of requests to be refused. */
         private record PendingRequest(
-                HttpRequest head, byte[] body, long receivedAtUs, HttpResponseStatus error, int refusedCount) {
+                RequestHead head, byte[] body, long receivedAtUs, HttpResponseStatus error, int refusedCount) {
             static PendingRequest unreadable(HttpResponseStatus error) {
                 return new PendingRequest(null, Framing.NO_BYTES, 0, error, 0);
             }
@@ -357,12 +367,58 @@
             static PendingRequest refused(int count) {
                 return new PendingRequest(null, Framing.NO_BYTES, 0, null, count);
             }
+
+            int heldBytes() {
+                return head == null ? 0 : head.heldBytes() + body.length;
+            }
         }
 
         Client(Channel channel) {
             this.channel = (ClientChannel) channel;
         }
 
+        // ---- memory ----------------------------------------------------------------------------------
+
+        @Override
+        public void add(int change) {
+            heldBytes += change;
+            memory.add(change);
+        }
+
+        @Override
+        public long allowance() {
+            return memory.allowanceBytes();
+        }
+
+        private void addRequestBytes(long change) {
+            requestBytes += change;
+            heldBytes += change;
+            memory.add(change);
+        }
+
+        private boolean isOverAllowance() {
+            return heldBytes >= allowance();
+        }
+
+        /** Writes data, which counts as held until the operating system has taken it. */
+        private ChannelFuture write(ByteBuf data) {
+            int bytes = data.readableBytes();
+            add(bytes);
+            unwrittenBytes += bytes;
+            return channel.writeAndFlush(data).addListener(written -> {
+                add(-bytes);
+                unwrittenBytes -= bytes;
+                paceDownload();
+            });
+        }
+
+        /** Reads the endpoint's response while its client takes it. */
+        private void paceDownload() {
+            if (download != null) {
+                download.setSinkReady(unwrittenBytes == 0 || channel.isWritable() && unwrittenBytes < allowance());
+            }
+        }
+
         // ---- reading ---------------------------------------------------------------------------------
 
         /** Bytes were read. */
@@ -384,9 +440,16 @@
             if (upload != null && channel.config().isAutoRead() && channel.readAllArrived()) {
                 uploadCaughtUp();
             }
+            if (memory.isFull() && isOverAllowance() && isReadingHead()) {
+                rejectUnreadable(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            }
             ctx.fireChannelReadComplete();
         }
 
+        private boolean isReadingHead() {
+            return !ignoresInput && !busy && head == null && pipelined.isEmpty();
+        }
+
         private void uploadCaughtUp() {
             if (requestHandle != null) {
                 proxy.readingCaughtUp(requestHandle);
@@ -450,7 +513,8 @@
             } else if (expectsContinue && !HttpHeaderValues.CONTINUE.contentEqualsIgnoreCase(expectation)) {
                 rejectUnreadable(HttpResponseStatus.EXPECTATION_FAILED);
             } else {
-                head = request;
+                head = RequestHead.of(request);
+                addRequestBytes(head.heldBytes());
                 body = null;
                 bodyBytes = 0;
                 bodyDropped = false;
@@ -477,36 +541,42 @@
             } else if (upload != null) {
                 if (!upload.attached()) {
                     uploadBytes += data.readableBytes();
-                    addPipelinedBytes(data.readableBytes());
-                    if (bufferedBytes >= MAX_BUFFERED_BYTES) {
+                    addRequestBytes(data.readableBytes());
+                    if (isOverAllowance()) {
                         setUploadReading(false);
                     }
                 }
                 upload.receive(data.retain());
             } else if (!bodyDropped) {
+                int heldBefore = body == null ? 0 : body.capacity();
                 body = body == null ? Upstream.ALLOCATOR.buffer(data.readableBytes()) : body;
-                addPipelinedBytes(data.readableBytes());
                 body.writeBytes(data);
+                addRequestBytes(body.capacity() - heldBefore);
                 streamIfLarge();
-                dropBodyIfOverLimit();
+                dropBodyIfOverAllowance();
             }
         }
 
-        /** Drops the body of a waiting request that exceeds a buffer limit; returns whether it has been dropped. */
-        private boolean dropBodyIfOverLimit() {
-            if (!bodyDropped
-                    && busy
-                    && upload == null
-                    && (pipelinedBytes >= MAX_PIPELINED_BYTES || bufferedBytes >= MAX_BUFFERED_BYTES)) {
+        /**
+         * Drops a body while the connection holds more than its allowance; returns whether it has been dropped. Reading
+         * goes on, since a client's close is seen only after all that it sent; the request is refused in its turn.
+         */
+        private boolean dropBodyIfOverAllowance() {
+            if (!bodyDropped && upload == null && isOverAllowance()) {
                 bodyDropped = true;
-                if (body != null) {
-                    addPipelinedBytes(-body.readableBytes());
-                    body = null;
-                }
+                releaseBody();
             }
             return bodyDropped;
         }
 
+        private void releaseBody() {
+            if (body != null) {
+                addRequestBytes(-body.capacity());
+                body.release();
+                body = null;
+            }
+        }
+
         /** Rejects a chunked body above the size limit. The request is incomplete, so no endpoint has executed it. */
         private void rejectTooLarge() {
             if (upload == null) {
@@ -524,9 +594,8 @@
                     && body.readableBytes() > Framing.MAX_BUFFERED_BODY_BYTES
                     && pipelined.isEmpty()) {
                 byte[] firstPart = takeBody();
-                addPipelinedBytes(-firstPart.length);
-                upload = new BodyStream(
-                        Framing.contentLength(head.headers()), MAX_PIPELINED_BYTES, this::setUploadReading);
+                addRequestBytes(firstPart.length);
+                upload = new BodyStream(head.contentLength(), MAX_UPLOAD_BUFFER_BYTES, this::setUploadReading);
                 uploadProgressNanos = System.nanoTime();
                 streaming.add(this);
                 handle(new PendingRequest(head, firstPart, arrivalUs(), null, 0), upload);
@@ -539,7 +608,7 @@
         }
 
         /**
-         * Reading follows the pace of the body's sink; before there is one, it goes on up to one client's buffer limit.
+         * Reading follows the pace of the body's sink; before there is one, it goes on up to one client's allowance.
          */
         private void setUploadReading(boolean reading) {
             if (upload != null && upload.attached()) {
@@ -553,15 +622,20 @@
         }
 
         private void releaseUploadBytes() {
-            addPipelinedBytes(-uploadBytes);
+            addRequestBytes(-uploadBytes);
             uploadBytes = 0;
         }
 
+        private void releaseOpenBytes() {
+            addRequestBytes(-openBytes);
+            openBytes = 0;
+        }
+
         private byte[] takeBody() {
             byte[] bytes = body == null ? Framing.NO_BYTES : new byte[body.readableBytes()];
             if (body != null) {
                 body.readBytes(bytes);
-                body = null;
+                releaseBody();
             }
             return bytes;
         }
@@ -618,18 +692,19 @@
                 endUpload();
                 return;
             }
-            boolean overLimit = dropBodyIfOverLimit();
+            boolean refused = dropBodyIfOverAllowance();
             byte[] wholeBody = takeBody();
-            HttpRequest request = head;
+            RequestHead request = head;
             head = null;
             requestStartedNanos = 0;
-            if (overLimit) {
+            if (refused) {
+                addRequestBytes(-request.heldBytes());
                 boolean followsRefused =
                         !pipelined.isEmpty() && pipelined.peekLast().refusedCount() > 0;
                 pipelined.add(PendingRequest.refused(
                         followsRefused ? pipelined.pollLast().refusedCount() + 1 : 1));
             } else {
-                addPipelinedBytes(REQUEST_OVERHEAD_BYTES);
+                addRequestBytes(wholeBody.length);
                 pipelined.add(new PendingRequest(request, wholeBody, arrivalUs(), null, 0));
             }
             dispatchPending();
@@ -638,14 +713,18 @@
         /** Stops reading requests from this client: the earlier ones are served, then the error is sent. */
         private void rejectUnreadable(HttpResponseStatus error) {
             ignoresInput = true;
-            head = null;
+            dropHead();
             pipelined.add(PendingRequest.unreadable(error));
             dispatchPending();
         }
 
-        private void addPipelinedBytes(int bytes) {
-            pipelinedBytes += bytes;
-            Frontend.this.addBufferedBytes(bytes);
+        /** Drops the request being read. */
+        private void dropHead() {
+            if (head != null && upload == null) {
+                addRequestBytes(-head.heldBytes());
+                releaseBody();
+            }
+            head = null;
         }
 
         /** Resumes reading. At shutdown, input that does not belong to a request already started is dropped. */
@@ -669,7 +748,6 @@
                 if (next.refusedCount() > 1) {
                     pipelined.addFirst(PendingRequest.refused(next.refusedCount() - 1));
                 }
-                addPipelinedBytes(next.head() == null ? 0 : -next.body().length - REQUEST_OVERHEAD_BYTES);
                 handle(next, null);
             }
             dispatching = false;
@@ -681,16 +759,20 @@
         private void handle(PendingRequest pending, BodyStream remainingBody) {
             busy = true;
             idle.remove(this);
-            HttpRequest request = pending.head();
-            keepAlive = request == null ? pending.refusedCount() > 0 : HttpUtil.isKeepAlive(request);
-            http10 = request != null && request.protocolVersion().equals(HttpVersion.HTTP_1_0);
-            int queryIndex = request == null ? -1 : request.uri().indexOf('?');
-            String path = request == null
-                    ? ""
-                    : queryIndex < 0 ? request.uri() : request.uri().substring(0, queryIndex);
+            openBytes = pending.heldBytes() + RequestHead.OPEN_BYTES;
+            addRequestBytes(RequestHead.OPEN_BYTES);
+            RequestHead request = pending.head();
+            keepAlive = request == null ? pending.refusedCount() > 0 : request.keepAlive();
+            http10 = request != null && request.http10();
+            String path = request == null ? "" : request.path();
             if (pending.refusedCount() > 0) {
+                errors.add(ClientError.MEMORY);
                 refused(proxy.retryAfterUs());
             } else if (request == null) {
+                errors.add(
+                        pending.error() == HttpResponseStatus.SERVICE_UNAVAILABLE
+                                ? ClientError.MEMORY
+                                : ClientError.UNREADABLE);
                 answer(pending.error());
             } else if (path.equals("/-/ready")) {
                 answer(
@@ -740,7 +822,7 @@
             streaming.add(this);
             lastProgressNanos = System.nanoTime();
             ByteBuf firstPart = Unpooled.wrappedBuffer(answer.body());
-            channel.writeAndFlush(Unpooled.wrappedBuffer(
+            write(Unpooled.wrappedBuffer(
                     Framing.message(
                             Framing.NO_BYTES,
                             encodeHead(
@@ -758,10 +840,8 @@
                 @Override
                 public void write(ByteBuf piece) {
                     lastProgressNanos = System.nanoTime();
-                    channel.writeAndFlush(chunked ? Framing.chunk(piece) : piece);
-                    if (!channel.isWritable()) {
-                        remainingBody.setSinkReady(false);
-                    }
+                    Client.this.write(chunked ? Framing.chunk(piece) : piece);
+                    paceDownload();
                 }
 
                 @Override
@@ -769,6 +849,7 @@
                     download = null;
                     responseDueUs = proxy.streamedResponseDueAt(requestHandle);
                     requestHandle = null;
+                    releaseOpenBytes();
                     if (upload == null) {
                         streaming.remove(Client.this);
                     }
@@ -779,7 +860,8 @@
                     stopUpload();
                     boolean closeConnection = lastOnConnection || untilClose || ignoresInput;
                     markIdle();
-                    channel.writeAndFlush(chunked ? Framing.lastChunk() : Unpooled.EMPTY_BUFFER)
+                    Client.this
+                            .write(chunked ? Framing.lastChunk() : Unpooled.EMPTY_BUFFER)
                             .addListener(written -> onAnswerWritten(closeConnection || !written.isSuccess()));
                 }
             });
@@ -789,7 +871,7 @@
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
             if (download != null) {
                 lastProgressNanos = System.nanoTime();
-                download.setSinkReady(channel.isWritable());
+                paceDownload();
             }
         }
 
@@ -802,6 +884,7 @@
             }
             BodyStream stopped = upload;
             upload = null;
+            releaseUploadBytes();
             head = null;
             ignoresInput = true;
             streaming.remove(this);
@@ -840,12 +923,12 @@
 
         private void answer(HttpResponseStatus status, Upstream.Answer answer, long retryAfterUs, String extraHeaders) {
             requestHandle = null;
+            releaseOpenBytes();
             boolean uploadStopped = stopUpload();
             boolean lastOnConnection = isLastOnConnection() || uploadStopped;
             ByteBuf encoded = encode(status, answer, retryAfterUs, extraHeaders, lastOnConnection);
             markIdle();
-            channel.writeAndFlush(encoded)
-                    .addListener(written -> onAnswerWritten(lastOnConnection || !written.isSuccess()));
+            write(encoded).addListener(written -> onAnswerWritten(lastOnConnection || !written.isSuccess()));
         }
 
         /** The final answer is written: closes the connection or handles the next waiting request. */
@@ -980,6 +1063,7 @@
             if (head != null && !busy) {
                 busy = true;
                 keepAlive = false;
+                errors.add(ClientError.TIMED_OUT);
                 answer(HttpResponseStatus.REQUEST_TIMEOUT);
             } else if (busy) {
                 close(Close.STALLED);
@@ -1003,7 +1087,13 @@
             idle.remove(this);
             closing.remove(this);
             pipelined.clear();
-            addPipelinedBytes(-pipelinedBytes);
+            if (body != null) {
+                body.release();
+                body = null;
+            }
+            openBytes = 0;
+            uploadBytes = 0;
+            addRequestBytes(-requestBytes);
             streaming.remove(this);
             if (upload != null) {
                 upload.end(false);
--- a/src/main/java/mulleinfront/proxy/RequestMessage.java
+++ b/src/main/java/mulleinfront/proxy/RequestMessage.java
@@ -4,7 +4,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.AsciiString;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
@@ -40,11 +39,16 @@
     /** Length of the longest of these names; a longer header name needs no lookup. */
     private static final int LONGEST_NOT_FORWARDED = 17;
 
-    static RequestMessage of(HttpRequest request, byte[] body) {
-        return of(request.method().name(), request.uri(), request.headers(), body);
+    static RequestMessage of(RequestHead head, byte[] body) {
+        return of(head.method(), head.encoded(), body);
     }
 
-    static RequestMessage of(String method, String uri, HttpHeaders headers, byte[] body) {
+    static RequestMessage of(String method, byte[] encodedHead, byte[] body) {
+        return new RequestMessage(encodedHead, body.length > 0 || !method.equals("GET"), body, null, 0);
+    }
+
+    /** Encodes the request line and the headers that are forwarded. */
+    static byte[] encodeHead(String method, String uri, HttpHeaders headers) {
         Set<String> connectionOptions = null;
         if (headers.contains(HttpHeaderNames.CONNECTION)) {
             connectionOptions = new HashSet<>();
@@ -64,12 +68,12 @@
                         .append("\r\n");
             }
         }
-        return new RequestMessage(
-                head.toString().getBytes(StandardCharsets.ISO_8859_1),
-                body.length > 0 || !method.equals("GET"),
-                body,
-                null,
-                0);
+        return head.toString().getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Length of the message on the wire, without the headers that each attempt sets anew. */
+    long bytes() {
+        return head.length + body.length + (remainingBody == null ? 0 : Math.max(0, remainingBody.length()));
     }
 
     /** This request with the rest of its body streamed. */
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -40,6 +41,7 @@
 import java.util.function.IntSupplier;
 import mulleinfront.Balancer.Outcome;
 import mulleinfront.core.EnumCounts;
+import mulleinfront.core.MemoryAccount;
 import mulleinfront.core.Metrics;
 import mulleinfront.core.Metrics.Close;
 import mulleinfront.core.RuleGuard;
@@ -73,6 +75,11 @@
     private static final long STREAM_AFTER_MS = 30;
     /** Bytes waiting to be written on a connection at which reading from the other one pauses and resumes. */
     static final WriteBufferWaterMark WRITE_WATER_MARK = new WriteBufferWaterMark(16 * 1024, 48 * 1024);
+    /** Size of a read from an endpoint: small at first, since most responses are, and larger while more arrives. */
+    private static final int MIN_READ_BYTES = 512;
+
+    private static final int FIRST_READ_BYTES = 2 * 1024;
+    private static final int MAX_READ_BYTES = 16 * 1024;
 
     /**
      * Allocates buffers on the heap, whose size is limited as a whole. At this traffic they need no pool and no leak
@@ -88,6 +95,7 @@
     private final IntSupplier maxIdleConnections;
     private final EnumCounts<Close> closes;
     private final RuleGuard guard;
+    private final MemoryAccount memory;
     /** Idle connections to all endpoints, the longest idle first. */
     private final LinkedHashSet<Connection> idle = new LinkedHashSet<>();
     /** All connections that are not closed, including those being established. */
@@ -100,6 +108,7 @@
     /**
      * @param maxConnections number of connections above which an idle one is closed for each new one
      * @param maxIdleConnections limit of the idle connections kept
+     * @param memory counts what the connections hold
      * @param metrics counts the reasons for which connections are closed, and the violations of invariants
      */
     Upstream(
@@ -108,8 +117,10 @@
             long connIdleUs,
             int maxConnections,
             IntSupplier maxIdleConnections,
+            MemoryAccount memory,
             Metrics metrics) {
         this.loop = loop;
+        this.memory = memory;
         this.closes = metrics.endpointCloses;
         this.guard = metrics.ruleGuard;
         this.maxIdleConnections = maxIdleConnections;
@@ -119,6 +130,9 @@
         this.bootstrap = new Bootstrap()
                 .group(loop)
                 .option(ChannelOption.ALLOCATOR, ALLOCATOR)
+                .option(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1000));
@@ -349,7 +363,7 @@
             target.attempt = this;
             long remainingMs = Math.max(1, remainingNanos / 1_000_000);
             writtenNanos = System.nanoTime();
-            ChannelFuture firstWrite = target.channel.writeAndFlush(message.encode(remainingMs));
+            ChannelFuture firstWrite = target.write(message.encode(remainingMs));
             writeFuture = message.remainingBody() == null ? firstWrite : target.channel.newPromise();
             firstWrite.addListener(completed -> {
                 if (completed.isSuccess() && !ended && connection == target && message.remainingBody() != null) {
@@ -380,10 +394,8 @@
                         piece.release();
                         return;
                     }
-                    target.channel.writeAndFlush(chunked ? Framing.chunk(piece) : piece);
-                    if (!target.channel.isWritable()) {
-                        remainingBody.setSinkReady(false);
-                    }
+                    target.write(chunked ? Framing.chunk(piece) : piece);
+                    target.paceUpload();
                 }
 
                 /**
@@ -472,6 +484,19 @@
         }
     }
 
+    /** The part of a response's head that is kept: its decoded fields would take many times the memory. */
+    private record ResponseHead(int status, boolean keepAlive, boolean notRun, String contentType) {
+        static ResponseHead of(HttpResponse response) {
+            int status = response.status().code();
+            return new ResponseHead(
+                    status,
+                    HttpUtil.isKeepAlive(response),
+                    (status == 503 || status == 504)
+                            && "1".equals(response.headers().get("X-Not-Run")),
+                    response.headers().get(HttpHeaderNames.CONTENT_TYPE));
+        }
+    }
+
     /** A socket that can tell whether data has arrived that the event loop has not read yet. */
     private static final class EndpointChannel extends NioSocketChannel {
         boolean hasNoUnreadData(ByteBuffer buffer) {
@@ -484,17 +509,21 @@
     }
 
     /** One connection to an endpoint: in use by one attempt, or idle in the endpoint's list, or closed. */
-    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements Framing.HeldBytes {
         private final Host host;
         /** The address connected to; the endpoint may since have moved to another one. */
         private final InetSocketAddress address;
 
         private final EndpointChannel channel = new EndpointChannel();
-        private final ByteBuf body = ALLOCATOR.buffer();
+        /** The body so far of a response that is not streamed; null if nothing of it has come. */
+        private ByteBuf body;
+        /** Bytes that wait to be written. */
+        private int unwrittenBytes;
+
         private Attempt attempt;
         private long idleSinceNanos;
         private boolean closed;
-        private HttpResponse head;
+        private ResponseHead head;
         private int interimResponses;
         private boolean reusable = true;
         private Outcome outcome;
@@ -511,7 +540,7 @@
         private long statedLength;
 
         /** Closes the connection when data arrives while no request is in progress: it is a response to none. */
-        private final Framing.ResponseDecoder decoder = new Framing.ResponseDecoder() {
+        private final Framing.ResponseDecoder decoder = new Framing.ResponseDecoder(this) {
             @Override
             public void channelRead(ChannelHandlerContext ctx, Object in) throws Exception {
                 if (attempt == null) {
@@ -528,6 +557,64 @@
             this.address = host.address;
         }
 
+        @Override
+        public void add(int change) {
+            memory.add(change);
+        }
+
+        @Override
+        public long allowance() {
+            return memory.allowanceBytes();
+        }
+
+        /** Writes data, which counts as held until the operating system has taken it. */
+        private ChannelFuture write(ByteBuf data) {
+            int bytes = data.readableBytes();
+            add(bytes);
+            unwrittenBytes += bytes;
+            return channel.writeAndFlush(data).addListener(written -> {
+                add(-bytes);
+                unwrittenBytes -= bytes;
+                paceUpload();
+            });
+        }
+
+        /** Reads the client's request while the endpoint takes it. */
+        private void paceUpload() {
+            if (upload != null) {
+                upload.setSinkReady(unwrittenBytes == 0 || channel.isWritable() && unwrittenBytes < allowance());
+            }
+        }
+
+        private void appendToBody(ByteBuf data) {
+            int heldBefore = body == null ? 0 : body.capacity();
+            body = body == null ? ALLOCATOR.buffer(data.readableBytes()) : body;
+            body.writeBytes(data);
+            add(body.capacity() - heldBefore);
+        }
+
+        private int bodyLength() {
+            return body == null ? 0 : body.readableBytes();
+        }
+
+        /** Takes the body so far out of its buffer. */
+        private byte[] takeBody() {
+            byte[] bytes = new byte[bodyLength()];
+            if (body != null) {
+                body.readBytes(bytes);
+                releaseBody();
+            }
+            return bytes;
+        }
+
+        private void releaseBody() {
+            if (body != null) {
+                add(-body.capacity());
+                body.release();
+                body = null;
+            }
+        }
+
         private boolean leadsToEndpoint() {
             return address.equals(host.address);
         }
@@ -580,7 +667,7 @@
                     return;
                 }
             }
-            if (message instanceof HttpContent content && head.status().code() >= 200) {
+            if (message instanceof HttpContent content && head.status() >= 200) {
                 appendBody(content.content());
                 if (message instanceof LastHttpContent && outcome == null && attempt != null) {
                     completeResponse();
@@ -592,22 +679,26 @@
         private void appendBody(ByteBuf data) {
             bodyBytes += data.readableBytes();
             if (bodyBytes > BodyStream.MAX_BODY_BYTES
-                    || head.status().code() != 200 && bodyBytes > Framing.MAX_BUFFERED_BODY_BYTES) {
+                    || head.status() != 200 && bodyBytes > Framing.MAX_BUFFERED_BODY_BYTES) {
                 failResponse();
                 return;
             }
+            if (head.status() != 200) {
+                return;
+            }
             if (download == null) {
+                long bufferedLimit = Math.min(Framing.MAX_BUFFERED_BODY_BYTES, allowance());
                 if (statedLength > Framing.MAX_BUFFERED_BODY_BYTES
-                        || body.readableBytes() + data.readableBytes() > Framing.MAX_BUFFERED_BODY_BYTES) {
+                        || bodyLength() + data.readableBytes() > bufferedLimit) {
                     startStreaming();
                 } else {
-                    if (statedLength < 0 && body.readableBytes() == 0 && data.isReadable()) {
+                    if (statedLength < 0 && body == null && data.isReadable()) {
                         // The length is unknown: streaming starts after this delay, so that the first bytes of a slow
                         // response don't wait for its last ones.
                         Attempt receiving = attempt;
                         loop.schedule(() -> streamIfSlow(receiving), STREAM_AFTER_MS, TimeUnit.MILLISECONDS);
                     }
-                    body.writeBytes(data);
+                    appendToBody(data);
                     return;
                 }
             }
@@ -617,20 +708,18 @@
         }
 
         private void streamIfSlow(Attempt receiving) {
-            if (attempt == receiving && outcome == null && download == null && body.isReadable()) {
+            if (attempt == receiving && outcome == null && download == null && bodyLength() > 0) {
                 startStreaming();
             }
         }
 
         private void startStreaming() {
-            byte[] firstPart = new byte[body.readableBytes()];
-            body.readBytes(firstPart);
+            byte[] firstPart = takeBody();
             BodyStream remainingBody =
                     new BodyStream(statedLength, 0, reading -> channel.config().setAutoRead(reading));
             download = remainingBody;
             Attempt receiving = attempt;
-            if (!receiving.startStreaming(
-                            new Answer(firstPart, head.headers().get(HttpHeaderNames.CONTENT_TYPE), remainingBody))
+            if (!receiving.startStreaming(new Answer(firstPart, head.contentType(), remainingBody))
                     && !receiving.ended) {
                 receiving.cancel();
             }
@@ -652,13 +741,11 @@
 
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-            if (upload != null) {
-                upload.setSinkReady(channel.isWritable());
-            }
+            paceUpload();
         }
 
         private void beginResponse(HttpResponse response) {
-            head = response;
+            head = ResponseHead.of(response);
             loadReport = response.headers().get(LoadReport.HEADER);
             int status = response.status().code();
             boolean allowedInterim = status < 200 && status != 101 && ++interimResponses <= MAX_INTERIM_RESPONSES;
@@ -689,19 +776,15 @@
          * connection.
          */
         private void completeResponse() {
-            int status = head.status().code();
-            boolean notRun = (status == 503 || status == 504)
-                    && "1".equals(head.headers().get("X-Not-Run"));
-            outcome = status == 200 ? Outcome.OK : notRun ? Outcome.QUEUE_FULL : Outcome.FAILED;
-            reusable = HttpUtil.isKeepAlive(head) && attempt.writeFuture.isSuccess();
+            int status = head.status();
+            outcome = status == 200 ? Outcome.OK : head.notRun() ? Outcome.QUEUE_FULL : Outcome.FAILED;
+            reusable = head.keepAlive() && attempt.writeFuture.isSuccess();
             if (download != null) {
                 BodyStream finished = download;
                 download = null;
                 finished.end(true);
             } else if (status == 200) {
-                byte[] bytes = new byte[body.readableBytes()];
-                body.readBytes(bytes);
-                answer = new Answer(bytes, head.headers().get(HttpHeaderNames.CONTENT_TYPE), null);
+                answer = new Answer(takeBody(), head.contentType(), null);
             }
         }
 
@@ -722,7 +805,7 @@
             outcome = null;
             answer = null;
             interimResponses = 0;
-            body.clear();
+            releaseBody();
             if (upload != null) {
                 // Answered before the request's body was complete: the rest of it is dropped.
                 reusable = false;
@@ -758,6 +841,9 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             close(Close.BY_PEER);
+            if (outcome == null) {
+                releaseBody();
+            }
             if (outcome != null) {
                 deliver();
             } else if (attempt != null) {
--- a/src/main/java/mulleinfront/proxy/WarmUp.java
+++ b/src/main/java/mulleinfront/proxy/WarmUp.java
@@ -162,8 +162,9 @@
             if (requestClass.effect() == Effect.DEDUP) {
                 headers.set("Idempotency-Key", "key");
             }
-            RequestMessage message = RequestMessage.of(
-                    requestClass.effect() == Effect.RETRYABLE ? "GET" : "POST", "/api", headers, new byte[0]);
+            String method = requestClass.effect() == Effect.RETRYABLE ? "GET" : "POST";
+            RequestMessage message =
+                    RequestMessage.of(method, RequestMessage.encodeHead(method, "/api", headers), Framing.NO_BYTES);
             upstream.attempt(self, message, requestClass.deadlineUs(), () -> true, (outcome, answer) -> {
                         remaining.countDown();
                         if (remaining.getCount() > 0) {
--- a/src/main/java/mulleinfront/settings/Config.java
+++ b/src/main/java/mulleinfront/settings/Config.java
@@ -22,6 +22,8 @@
  * @param kinds server type names, indexed by type number
  * @param tenants tenant names, indexed by tenant number
  * @param cores number of cores, possibly fractional, that the platform grants the process
+ * @param memoryMb memory, megabytes, that the platform grants the process
+ * @param loops number of event loops that share that memory
  * @param requestsPerS requests per second that all tenants together may send to this instance; 0 if the settings give
  *        no allowances
  * @param descriptorLimit file descriptors that the platform grants the process
@@ -40,6 +42,8 @@
         List<String> kinds,
         List<String> tenants,
         double cores,
+        int memoryMb,
+        int loops,
         double requestsPerS,
         int descriptorLimit,
         int maxSockets,
@@ -52,6 +56,8 @@
      * {@link ProcessSettings}.
      */
     private static final int DEPLOYED_SOCKETS = 1024;
+    /** Memory of the default deployment, megabytes. */
+    private static final int DEPLOYED_MEMORY_MB = 192;
     /** Distance between the seeds of two event loops: the golden gamma of {@link java.util.SplittableRandom}. */
     private static final long LOOP_SEED_STEP = 0x9e3779b97f4a7c15L;
 
@@ -125,6 +131,8 @@
                 settings.names("kinds"),
                 settings.tenantNames(),
                 limits.cores(),
+                limits.memoryMb(),
+                1,
                 settings.requestsPerS(),
                 limits.sockets(),
                 Math.min(DEPLOYED_SOCKETS, limits.sockets()),
@@ -145,6 +153,8 @@
                 kinds,
                 tenants,
                 cores,
+                memoryMb,
+                loops,
                 requestsPerS,
                 descriptorLimit,
                 maxSockets,
@@ -170,6 +180,8 @@
                 kinds,
                 tenants,
                 cores,
+                memoryMb,
+                loops,
                 requestsPerS / loops,
                 descriptorLimit,
                 loopSockets,
@@ -179,8 +191,8 @@
     }
 
     /** Resource limits that the platform sets for the process. */
-    private record Limits(double cores, int sockets) {
-        private static final Limits NONE = new Limits(1, DEPLOYED_SOCKETS);
+    private record Limits(double cores, int memoryMb, int sockets) {
+        private static final Limits NONE = new Limits(1, DEPLOYED_MEMORY_MB, DEPLOYED_SOCKETS);
     }
 
     private static Limits readLimits(JsonParser in) throws IOException {
@@ -192,14 +204,18 @@
             String name = in.currentName();
             in.nextToken();
             switch (name) {
-                case "cores" -> limits = new Limits(in.getDoubleValue(), limits.sockets());
-                case "sockets" -> limits = new Limits(limits.cores(), in.getIntValue());
+                case "cores" -> limits = new Limits(in.getDoubleValue(), limits.memoryMb(), limits.sockets());
+                case "memory_mb" -> limits = new Limits(limits.cores(), (int) in.getDoubleValue(), limits.sockets());
+                case "sockets" -> limits = new Limits(limits.cores(), limits.memoryMb(), in.getIntValue());
                 default -> in.skipChildren();
             }
         }
         if (!(limits.cores() > 0 && limits.cores() < Double.POSITIVE_INFINITY)) {
             throw new IOException("configuration: limits.cores must be above 0");
         }
+        if (limits.memoryMb() < 1) {
+            throw new IOException("configuration: limits.memory_mb must be at least 1");
+        }
         if (limits.sockets() < 1) {
             throw new IOException("configuration: limits.sockets must be at least 1");
         }
