An error that ends an event loop is logged and ends the process with code 70

Callers saw: a process that ended by itself under a crowd, with exit code 0 and no line in its log.

Cause: an OutOfMemoryError ended the event-loop thread; with it the last thread of the program ended, as after a shutdown in order.

Change: FatalErrors logs errors of the virtual machine, wherever the event loop or a channel's handler catches them, and an event loop that ends without having been told to, and ends the process with code 70.

--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -223,6 +223,7 @@
     }
 
     private static void logUnexpectedException(Throwable exception) {
+        FatalErrors.endProcessIfFatal(exception);
         // The JVM omits the stack trace of an exception that is thrown often.
         System.err.println("mulleinfront: " + exception
                 + Arrays.stream(exception.getStackTrace())
@@ -341,9 +342,11 @@
             Consumer<ClientProxy> onCreated)
             throws Exception {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        FatalErrors.endProcessWithLoop(group);
         try {
             return start(config, balancerFactory, reusePort, inheritedSocket, onCreated, group);
         } catch (Exception e) {
+            FatalErrors.loopMayEnd(group);
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             throw e;
         }
@@ -604,6 +607,7 @@
      * the channels registered with it: such connections would stay open, and unread, until the process ends.
      */
     private Future<?> shutDown() {
+        FatalErrors.loopMayEnd(group);
         loop.execute(() -> {
             logMetrics();
             frontend.close();
--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -425,6 +425,7 @@
         /** Invalid data, an error response, a timeout or a broken connection: only this call fails. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            FatalErrors.endProcessIfFatal(cause);
             fail(cause);
             ctx.close();
         }
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -1111,6 +1111,7 @@
         /** Closes this connection on any error; the client may retry the request that was open on it. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            FatalErrors.endProcessIfFatal(cause);
             close(Close.ERROR);
         }
     }
--- a/src/main/java/mulleinfront/proxy/Serve.java
+++ b/src/main/java/mulleinfront/proxy/Serve.java
@@ -42,6 +42,7 @@
     public static void serve(String processFile, String fleetFile, String controlFile) throws Exception {
         ProcessStart.initialize();
         configureLogging();
+        FatalErrors.endProcessOnFatalErrors();
         String file = System.getenv("NODE_CONFIG");
         CompletableFuture<List<ClientProxy>> started = new CompletableFuture<>();
         Signal.handle(new Signal("HUP"), signal -> started.thenAccept(proxies -> reload(proxies, file)));
@@ -151,7 +152,7 @@
      * Sends the libraries' log messages to standard error as plain lines. Java's own log format opens a time zone file:
      * a warning that the descriptors are exhausted would then end the thread that logs it.
      */
-    private static void configureLogging() {
+    static void configureLogging() {
         // By default Netty would use the logging library of the event log, which is loaded only where that is
         // configured.
         InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
@@ -161,6 +162,8 @@
             public void publish(LogRecord entry) {
                 System.err.println("mulleinfront: " + entry.getMessage()
                         + (entry.getThrown() == null ? "" : ": " + entry.getThrown()));
+                // The event loop catches what its tasks throw, and logs it.
+                FatalErrors.endProcessIfFatal(entry.getThrown());
             }
 
             @Override
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -854,6 +854,7 @@
         /** An error such as a reset ends this connection and its attempt only. */
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            FatalErrors.endProcessIfFatal(cause);
             if (attempt != null && outcome == null) {
                 attempt.onConnectionBroken();
             }
