Long answers go on while they come at a minimum rate; slow hosts delay no answer

Callers saw: answers of 140 to 260 KB reset 0.23 s after their deadline while they came at 90 KB/s; 502 after 0.5 to 0.6 s for answers whose head had come and for requests that their host still read; one request of 54 with neither an answer nor a close in 30 s.

Cause: a streamed answer was cut at one time whatever its pace; the attempt's timer ran until the first byte of the body; a long request had the time of a short one; and a request that its host reads slowly counted as caught up with whenever the receive buffer was empty for a moment, which moved its deadline by 600 s each time.

Change: StreamProgress decides 0.25 s before an answer would be lost. One of ordinary length (64 KiB) has to be whole; a longer one goes on while it brings an ordinary body in each longest deadline of the protocol (64 KiB in 3 s). An attempt whose 200 head has come is not given up before the request's deadline, and its answer is then passed on as far as it has come. A long request has the time to be read at that rate. Reading has caught up only if nothing more arrives for 10 ms. Bodies are collected to the end of a read, so 5-byte chunks are not written one by one; send buffers are 64 KiB.

BodiesTest#responseThatItsClientReadsSlowlyIsAborted held a client that reads 500 KB/s to the deadline; that stream is sound. The test now has a client that reads 500 bytes/s and asks that the attempt ends and the client sees a reset; SlowTransferTest has the sound client beside it.

--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -41,6 +41,8 @@
      * incomplete, even if the event loop stalls.
      */
     private static final long CUT_OFF_MARGIN_US = 250_000;
+    /** Length of a request that an endpoint's connection takes at once. */
+    private static final long SHORT_REQUEST_BYTES = 16 * 1024;
     /** Longest time for which a request may be read while its attempt is being sent. */
     private static final long MAX_READING_US = 600_000_000;
     /** Stands for no time since which bytes of a request may be unread. */
@@ -122,6 +124,8 @@
         private boolean responseStarted;
         /** Whether the streamed response has been cut off because it was overdue. */
         private boolean cutOff;
+
+        private final StreamProgress streamProgress = new StreamProgress();
         /**
          * Whether the balancer has been notified that the attempt in progress streams to or from the client. From then
          * on the balancer does not cancel the attempt.
@@ -334,7 +338,7 @@
     /**
      * Sets the deadline of an unfinished request and its timer. The start of a streamed response does not end the
      * deadline, since the response is complete only with its last byte: what continues after
-     * {@link #streamedResponseDueAt} is cut off, whatever progress it makes.
+     * {@link #streamedResponseDueAt} is cut off unless {@link StreamProgress} finds it sound.
      */
     private void setDeadline(RequestHandle<Q, A> handle, long at) {
         handle.deadlineAt = at;
@@ -342,20 +346,46 @@
             handle.deadlineTimer.cancel();
         }
         handle.deadlineTimer = handle.responseStarted
-                ? time.after(streamedResponseDueAt(handle) - time.now(), () -> cutOff(handle))
+                ? time.after(streamedResponseDueAt(handle) - time.now(), () -> checkStream(handle))
                 : time.after(at - time.now(), () -> deadlineExpired(handle));
     }
 
-    /** Returns when a streamed response has to be complete, microseconds on the core's clock. */
-    public long streamedResponseDueAt(RequestHandle<Q, A> handle) {
+    /** Returns when a streamed response of ordinary length has to be complete, microseconds on the core's clock. */
+    private long streamedResponseDueAt(RequestHandle<Q, A> handle) {
         return Math.min(handle.deadlineAt + ANSWER_GRACE_US - CUT_OFF_MARGIN_US, shutdownDeadline);
     }
 
-    /** Cancels the attempt of a streamed response that is overdue: its client is told that it is incomplete. */
-    private void cutOff(RequestHandle<Q, A> handle) {
-        if (handle.activeAttempt != null) {
+    /**
+     * Returns when the client must have taken a streamed response whose last byte has just come from its endpoint,
+     * microseconds on the core's clock.
+     */
+    public long streamedResponseTakenBy(RequestHandle<Q, A> handle) {
+        long dueAt = streamedResponseDueAt(handle);
+        StreamProgress.Transfer transfer =
+                handle.activeAttempt == null ? null : handle.activeAttempt.responseTransfer();
+        return transfer != null && transfer.isLong()
+                ? Math.min(Math.max(dueAt, time.now() + StreamProgress.INTERVAL_US), shutdownDeadline)
+                : dueAt;
+    }
+
+    /**
+     * Cancels the attempt of a streamed response that is overdue and not sound: its client is told that it is
+     * incomplete.
+     */
+    private void checkStream(RequestHandle<Q, A> handle) {
+        if (handle.activeAttempt == null) {
+            return;
+        }
+        long now = time.now();
+        StreamProgress.Transfer transfer = handle.activeAttempt.responseTransfer();
+        long nextCheckUs = transfer == null || now >= shutdownDeadline
+                ? StreamProgress.END
+                : handle.streamProgress.check(now, transfer);
+        if (nextCheckUs == StreamProgress.END) {
             handle.cutOff = true;
             handle.activeAttempt.cancel();
+        } else {
+            handle.deadlineTimer = time.after(Math.min(nextCheckUs, shutdownDeadline - now), () -> checkStream(handle));
         }
     }
 
@@ -493,11 +523,20 @@
         handle.attemptDeadline = Math.max(now + 1, Math.min(receivedAt + handle.budgetUs, shutdownDeadline));
         long remainingUs = handle.attemptDeadline - now;
         if (handle.activeAttempt != null) {
-            handle.activeAttempt.setTimeout(
-                    handle.attemptTimeoutUs == 0 ? remainingUs : Math.min(remainingUs, handle.attemptTimeoutUs));
+            handle.activeAttempt.setTimeout(attemptLimitUs(handle, handle.attemptTimeoutUs, remainingUs));
         }
     }
 
+    /**
+     * Limits the time of an attempt. A long request gets the time in addition that its endpoint may take to read it:
+     * until its last byte has come it has not begun.
+     */
+    private long attemptLimitUs(RequestHandle<Q, A> handle, long timeoutUs, long remainingUs) {
+        long bytes = wire.requestBytes(handle.message);
+        long transferUs = bytes > SHORT_REQUEST_BYTES ? StreamProgress.transferTimeUs(bytes) : 0;
+        return timeoutUs == 0 ? remainingUs : Math.min(remainingUs, timeoutUs + transferUs);
+    }
+
     private long retryAfterUs() {
         return settings.limits().maxRetryAfterUs();
     }
@@ -516,10 +555,13 @@
     }
 
     /**
-     * Gives the final answer when the deadline timer fires, whatever the balancer has done. The request is refused only
-     * if a retry is safe.
+     * Gives the final answer when the deadline timer fires, whatever the balancer has done. A response that has begun
+     * is passed on as far as it has come. The request is refused only if a retry is safe.
      */
     private void deadlineExpired(RequestHandle<Q, A> handle) {
+        if (!handle.answered && time.now() < shutdownDeadline && isResponding(handle)) {
+            handle.activeAttempt.streamResponse();
+        }
         if (!handle.answered) {
             metrics.answers.add(Metrics.Answer.TIME_UP);
             markAnswered(handle);
@@ -611,8 +653,7 @@
                         RuleGuard.Check.SEND_BESIDE_ANOTHER,
                         handle.activeAttempt == null
                                 && number < settings.limits().maxAttempts());
-        long limitUs =
-                handle.reading ? Wire.NO_TIMEOUT : timeoutUs == 0 ? remainingUs : Math.min(remainingUs, timeoutUs);
+        long limitUs = handle.reading ? Wire.NO_TIMEOUT : attemptLimitUs(handle, timeoutUs, remainingUs);
         Wire.Attempt attempt = prevented
                 ? null
                 : wire.prepareAttempt(
@@ -637,6 +678,11 @@
                             public boolean responseStarted(A answer) {
                                 return onResponseStarted(handle, number, answer);
                             }
+
+                            @Override
+                            public void outlivesTimeout() {
+                                startStreaming(handle, number);
+                            }
                         });
         if (attempt == null) {
             reportAttemptEnd(handle, number, sentAt, Outcome.IGNORED);
@@ -716,6 +762,10 @@
         return true;
     }
 
+    private static boolean isResponding(RequestHandle<?, ?> handle) {
+        return handle.activeAttempt != null && handle.activeAttempt.isResponding();
+    }
+
     private void startStreaming(RequestHandle<Q, A> handle, int number) {
         handle.streaming = true;
         run(() -> balancer.onStreamStarted(time.now(), handle.request.id(), number));
@@ -764,7 +814,13 @@
     public void cancel(String requestId, int number) {
         tasks.add(() -> {
             RequestHandle<Q, A> handle = requestsById.get(requestId);
-            if (handle != null && handle.activeAttempt != null && number == handle.activeAttemptNumber) {
+            if (handle == null || handle.activeAttempt == null || number != handle.activeAttemptNumber) {
+                return;
+            }
+            if (!handle.answered && isResponding(handle)) {
+                // The endpoint has done the work: its response is not given up for another attempt.
+                startStreaming(handle, number);
+            } else {
                 handle.activeAttempt.cancel();
             }
         });
--- a/src/main/java/mulleinfront/core/Wire.java
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -82,6 +82,12 @@
         default boolean responseStarted(A answer) {
             return false;
         }
+
+        /**
+         * Called when the timeout passes while the attempt goes on, because its response has begun or its endpoint is
+         * still taking the request. It has no timeout of its own from then on.
+         */
+        default void outlivesTimeout() {}
     }
 
     /** A prepared attempt; it sends nothing before {@link #start}. */
@@ -94,6 +100,22 @@
 
         /** Sets the timeout, counted from now, once the request has been read completely. */
         default void setTimeout(long timeoutUs) {}
+
+        /** Returns whether the head of a successful response has come, and its body is not complete. */
+        default boolean isResponding() {
+            return false;
+        }
+
+        /**
+         * Starts to stream such a response as far as it has come, see {@link AttemptListener#responseStarted}; without
+         * effect if it is streamed already.
+         */
+        default void streamResponse() {}
+
+        /** Returns what has come of the response's body; null if the wire does not know. */
+        default StreamProgress.Transfer responseTransfer() {
+            return null;
+        }
     }
 
     /**
@@ -119,6 +141,11 @@
             BooleanSupplier maySend,
             AttemptListener<A> listener);
 
+    /** Returns the length of a request as sent to an endpoint, bytes; 0 if it does not matter. */
+    default long requestBytes(Q message) {
+        return 0;
+    }
+
     /**
      * Sends a health probe to an endpoint.
      *
--- a/src/main/java/mulleinfront/proxy/BodyStream.java
+++ b/src/main/java/mulleinfront/proxy/BodyStream.java
@@ -1,13 +1,13 @@
 package mulleinfront.proxy;
 
 import io.netty.buffer.ByteBuf;
-import java.util.ArrayDeque;
 import java.util.function.Consumer;
 
 /**
- * Streams a body from one connection to another, piece by piece at the reader's pace. Before a sink is attached, pieces
- * are buffered up to a limit. Reading pauses at that limit, and while the sink is not ready; only a few reads can be
- * buffered beyond it. All methods are called on the event loop.
+ * Streams a body from one connection to another at the reader's pace. What is received is collected in one buffer until
+ * the end of a read, so that it costs the same in one chunk and in thousands. Before a sink is attached, it is collected
+ * up to a limit. Reading pauses at that limit, and while the sink is not ready; only a few reads can be buffered beyond
+ * it. All methods are called on the event loop.
  */
 final class BodyStream {
     /** Size limit of a body: the 32 MB that operators require, with some margin. */
@@ -29,9 +29,10 @@
     private final long length;
     private final int maxBufferedBytes;
     private final Consumer<Boolean> setReading;
-    private final ArrayDeque<ByteBuf> buffered = new ArrayDeque<>();
+    /** What has been received and not been passed on; null if there is nothing. */
+    private ByteBuf buffered;
+
     private Sink sink;
-    private int bufferedBytes;
     private boolean attached;
     private boolean stopped;
     private boolean ended;
@@ -61,13 +62,11 @@
         return attached;
     }
 
-    /** Sends the buffered pieces and all that follow to a sink. */
+    /** Sends what is buffered and all that follows to a sink. */
     void attach(Sink receiver) {
         sink = receiver;
         attached = true;
-        for (ByteBuf piece; !stopped && (piece = buffered.poll()) != null; ) {
-            receiver.write(piece);
-        }
+        flush();
         if (ended && !stopped) {
             stopped = true;
             receiver.end(complete);
@@ -83,12 +82,13 @@
         }
     }
 
-    /** Drops the buffered pieces and all that follow: the sink has closed or needs no more. */
+    /** Drops what is buffered and all that follows: the sink has closed or needs no more. */
     void discard() {
         if (!stopped) {
             stopped = true;
-            for (ByteBuf piece; (piece = buffered.poll()) != null; ) {
-                piece.release();
+            if (buffered != null) {
+                buffered.release();
+                buffered = null;
             }
             if (!ended) {
                 setReading.accept(true);
@@ -96,17 +96,23 @@
         }
     }
 
-    /** Passes on or buffers a piece read from the body's connection; takes over its release. */
-    void receive(ByteBuf piece) {
-        if (stopped || !piece.isReadable()) {
-            piece.release();
-        } else if (sink == null) {
-            bufferedBytes += piece.readableBytes();
-            buffered.add(piece);
-            if (maxBufferedBytes > 0 && bufferedBytes >= maxBufferedBytes) {
-                setReading.accept(false);
-            }
-        } else {
+    /** Buffers data read from the body's connection, until {@link #flush}. */
+    void receive(ByteBuf data) {
+        if (stopped || !data.isReadable()) {
+            return;
+        }
+        buffered = buffered == null ? Upstream.ALLOCATOR.buffer(data.readableBytes()) : buffered;
+        buffered.writeBytes(data);
+        if (sink == null && maxBufferedBytes > 0 && buffered.readableBytes() >= maxBufferedBytes) {
+            setReading.accept(false);
+        }
+    }
+
+    /** Passes on what has been received, once a sink is attached; called at the end of each read. */
+    void flush() {
+        if (sink != null && buffered != null && !stopped) {
+            ByteBuf piece = buffered;
+            buffered = null;
             sink.write(piece);
         }
     }
@@ -116,6 +122,7 @@
         if (ended) {
             return;
         }
+        flush();
         ended = true;
         complete = isComplete;
         if (sink != null && !stopped) {
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -196,6 +196,11 @@
             return host == null ? null : upstream.attempt(host, message, timeoutUs, maySend, listener);
         }
 
+        @Override
+        public long requestBytes(RequestMessage message) {
+            return message.bytes();
+        }
+
         @Override
         public void probe(String hostId, AttemptListener<Upstream.Answer> listener) {
             Upstream.Host host = discovery.host(hostId);
@@ -737,9 +742,9 @@
         core.readingCaughtUp(handle);
     }
 
-    /** When a streamed response has to be complete, microseconds on the clock of {@link #now}. */
-    long streamedResponseDueAt(Core.RequestHandle<RequestMessage, Upstream.Answer> handle) {
-        return core.streamedResponseDueAt(handle);
+    /** When the client must have taken a streamed response that has just ended, microseconds on the clock of {@link #now}. */
+    long streamedResponseTakenBy(Core.RequestHandle<RequestMessage, Upstream.Answer> handle) {
+        return core.streamedResponseTakenBy(handle);
     }
 
     /** The retry delay for a client that is refused because it pipelined too much, microseconds; 0 for no advice. */
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -70,6 +70,8 @@
     private static final long IDLE_TIMEOUT_MS = 2_300;
 
     private static final long SWEEP_INTERVAL_MS = 100;
+    /** Time without data after which a client has sent all that it could: longer than a round trip. */
+    private static final long QUIET_MS = 10;
     /**
      * Time after SIGTERM for which connections are accepted: clients may connect for 0.4 s by the protocol, plus slack.
      */
@@ -184,6 +186,7 @@
                         ChannelOption.RCVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_SNDBUF, Upstream.SEND_BUFFER_BYTES)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Upstream.WRITE_WATER_MARK)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -352,6 +355,8 @@
         private long lastProgressNanos;
         /** When a byte of the streamed request body was last read, or reading it was resumed. */
         private long uploadProgressNanos;
+        /** Since when all bytes that have arrived of that body are read; 0 if there may be unread ones. */
+        private long uploadDrainedNanos;
         /** When the first byte of the request being read arrived; 0 if there is none. */
         private long requestStartedNanos;
 
@@ -427,6 +432,8 @@
             requestStartedNanos = requestStartedNanos == 0 ? now : requestStartedNanos;
             if (upload != null) {
                 uploadProgressNanos = now;
+                catchUpIfQuiet(now);
+                uploadDrainedNanos = 0;
             }
             // While a response is being written, the connection waits for the client to read, not for its requests.
             if (!busy && idle.remove(this)) {
@@ -437,8 +444,11 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (upload != null) {
+                upload.flush();
+            }
             if (upload != null && channel.config().isAutoRead() && channel.readAllArrived()) {
-                uploadCaughtUp();
+                uploadDrained();
             }
             if (memory.isFull() && isOverAllowance() && isReadingHead()) {
                 rejectUnreadable(HttpResponseStatus.SERVICE_UNAVAILABLE);
@@ -450,8 +460,20 @@
             return !ignoresInput && !busy && head == null && pipelined.isEmpty();
         }
 
-        private void uploadCaughtUp() {
-            if (requestHandle != null) {
+        private void uploadDrained() {
+            if (uploadDrainedNanos == 0) {
+                uploadDrainedNanos = System.nanoTime();
+            }
+        }
+
+        /**
+         * Reading has caught up with the client if nothing more arrives for a while. Until then bytes that the client
+         * has sent may still be on their way, held up by a receive window that was full.
+         */
+        private void catchUpIfQuiet(long now) {
+            boolean quiet =
+                    uploadDrainedNanos != 0 && now - uploadDrainedNanos >= TimeUnit.MILLISECONDS.toNanos(QUIET_MS);
+            if (quiet && requestHandle != null) {
                 proxy.readingCaughtUp(requestHandle);
             }
         }
@@ -546,7 +568,7 @@
                         setUploadReading(false);
                     }
                 }
-                upload.receive(data.retain());
+                upload.receive(data);
             } else if (!bodyDropped) {
                 int heldBefore = body == null ? 0 : body.capacity();
                 body = body == null ? Upstream.ALLOCATOR.buffer(data.readableBytes()) : body;
@@ -616,6 +638,7 @@
             }
             channel.config().setAutoRead(reading);
             uploadProgressNanos = System.nanoTime();
+            uploadDrainedNanos = reading ? uploadDrainedNanos : 0;
             if (!reading && requestHandle != null) {
                 proxy.readingPaused(requestHandle);
             }
@@ -673,7 +696,8 @@
             boolean uploadStalled = false;
             if (upload != null && channel.config().isAutoRead()) {
                 if (!channel.hasUnreadData()) {
-                    uploadCaughtUp();
+                    uploadDrained();
+                    catchUpIfQuiet(now);
                 }
                 uploadStalled = TimeUnit.NANOSECONDS.toMillis(now - uploadProgressNanos) > IDLE_TIMEOUT_MS;
             }
@@ -847,7 +871,7 @@
                 @Override
                 public void end(boolean complete) {
                     download = null;
-                    responseDueUs = proxy.streamedResponseDueAt(requestHandle);
+                    responseDueUs = proxy.streamedResponseTakenBy(requestHandle);
                     requestHandle = null;
                     releaseOpenBytes();
                     if (upload == null) {
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -45,6 +46,7 @@
 import mulleinfront.core.Metrics;
 import mulleinfront.core.Metrics.Close;
 import mulleinfront.core.RuleGuard;
+import mulleinfront.core.StreamProgress;
 import mulleinfront.core.Wire;
 import mulleinfront.settings.LoadReport;
 
@@ -73,6 +75,13 @@
      * A response of unknown length is streamed if it is not complete within this time after its first body bytes.
      */
     private static final long STREAM_AFTER_MS = 30;
+    /**
+     * Size of a connection's send buffer: it shows within a short time whether a peer takes what it is sent, and bounds
+     * the memory of the operating system.
+     */
+    static final int SEND_BUFFER_BYTES = 64 * 1024;
+    /** Interval at which an attempt is looked at whose endpoint takes the request slowly. */
+    private static final long TAKEN_CHECK_MS = 500;
     /** Bytes waiting to be written on a connection at which reading from the other one pauses and resumes. */
     static final WriteBufferWaterMark WRITE_WATER_MARK = new WriteBufferWaterMark(16 * 1024, 48 * 1024);
     /** Size of a read from an endpoint: small at first, since most responses are, and larger while more arrives. */
@@ -134,6 +143,7 @@
                         ChannelOption.RCVBUF_ALLOCATOR,
                         new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1000));
     }
@@ -253,6 +263,9 @@
         private int newConnections;
         private long idleForNanos;
         private long writtenNanos;
+        /** Bytes of the request that the endpoint had taken when that was last looked at. */
+        private long lastTakenBytes;
+
         private boolean ended;
 
         private Attempt(
@@ -274,10 +287,43 @@
         public void setTimeout(long timeoutUs) {
             if (!ended && timer == null) {
                 deadlineNanos = System.nanoTime() + timeoutUs * 1000;
-                timer = loop.schedule(() -> abandon(Outcome.TIMED_OUT), timeoutUs, TimeUnit.MICROSECONDS);
+                timer = loop.schedule(this::onTimeout, timeoutUs, TimeUnit.MICROSECONDS);
             }
         }
 
+        /**
+         * An attempt whose response has begun goes on, and so does one whose endpoint has taken more of the request
+         * since it was last looked at.
+         */
+        private void onTimeout() {
+            long taken = connection == null ? 0 : connection.takenBytes();
+            boolean written = writeFuture != null && writeFuture.isSuccess();
+            if (isResponding()) {
+                listener.outlivesTimeout();
+            } else if (connection != null && !written && taken > lastTakenBytes) {
+                lastTakenBytes = taken;
+                deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TAKEN_CHECK_MS);
+                timer = loop.schedule(this::onTimeout, TAKEN_CHECK_MS, TimeUnit.MILLISECONDS);
+            } else {
+                abandon(Outcome.TIMED_OUT);
+            }
+        }
+
+        @Override
+        public boolean isResponding() {
+            return !ended && connection != null && connection.isResponding();
+        }
+
+        @Override
+        public void streamResponse() {
+            connection.streamIfBuffered();
+        }
+
+        @Override
+        public StreamProgress.Transfer responseTransfer() {
+            return connection == null ? null : connection.responseTransfer();
+        }
+
         @Override
         public void start() {
             Connection reused = takeIdle(host);
@@ -534,6 +580,10 @@
         private BodyStream download;
 
         private long bodyBytes;
+        private long firstBodyByteNanos;
+        private long lastBodyByteNanos;
+        /** Bytes whose write is complete. */
+        private long writtenBytes;
         /** The load report in the response's head; null if there is none. */
         private String loadReport;
         /** The length of the body stated in the response's head; -1 if there is none. */
@@ -575,6 +625,7 @@
             return channel.writeAndFlush(data).addListener(written -> {
                 add(-bytes);
                 unwrittenBytes -= bytes;
+                writtenBytes += bytes;
                 paceUpload();
             });
         }
@@ -586,6 +637,29 @@
             }
         }
 
+        /** Bytes that the operating system has taken, of a write in progress too. */
+        private long takenBytes() {
+            ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
+            return writtenBytes + (unwritten == null ? 0 : unwritten.currentProgress());
+        }
+
+        /** Whether the head of a successful response has come, and its body is not complete. */
+        private boolean isResponding() {
+            return head != null && head.status() == 200 && outcome == null;
+        }
+
+        private void streamIfBuffered() {
+            if (download == null) {
+                startStreaming();
+            }
+        }
+
+        private StreamProgress.Transfer responseTransfer() {
+            long now = System.nanoTime();
+            return new StreamProgress.Transfer(
+                    statedLength, bodyBytes, (now - firstBodyByteNanos) / 1000, (now - lastBodyByteNanos) / 1000);
+        }
+
         private void appendToBody(ByteBuf data) {
             int heldBefore = body == null ? 0 : body.capacity();
             body = body == null ? ALLOCATOR.buffer(data.readableBytes()) : body;
@@ -677,6 +751,11 @@
 
         /** Buffers a response up to a size, or streams it. */
         private void appendBody(ByteBuf data) {
+            if (!data.isReadable()) {
+                return;
+            }
+            lastBodyByteNanos = System.nanoTime();
+            firstBodyByteNanos = bodyBytes == 0 ? lastBodyByteNanos : firstBodyByteNanos;
             bodyBytes += data.readableBytes();
             if (bodyBytes > BodyStream.MAX_BODY_BYTES
                     || head.status() != 200 && bodyBytes > Framing.MAX_BUFFERED_BODY_BYTES) {
@@ -703,7 +782,7 @@
                 }
             }
             if (download != null) {
-                download.receive(data.retain());
+                download.receive(data);
             }
         }
 
@@ -790,6 +869,9 @@
 
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (download != null) {
+                download.flush();
+            }
             if (outcome != null) {
                 deliver();
             }
@@ -804,6 +886,7 @@
             attempt = null;
             outcome = null;
             answer = null;
+            head = null;
             interimResponses = 0;
             releaseBody();
             if (upload != null) {
--- a/src/test/java/mulleinfront/proxy/BodiesTest.java
+++ b/src/test/java/mulleinfront/proxy/BodiesTest.java
@@ -396,7 +396,8 @@
     /** Interval between two reads or writes of a slow client. */
     private static final long PACE_MS = 20;
 
-    private static final int SLOWLY_READ_BYTES = 10_000;
+    /** What a client reads at a time that reads too slowly: a few hundred bytes a second. */
+    private static final int SLOWLY_READ_BYTES = 10;
 
     /** The ways in which a server may send a response that never ends. */
     enum EndlessResponse {
@@ -472,21 +473,26 @@
         }
     }
 
-    /** Guards against lost requests: a client that reads slowly may not keep its response open beyond its deadline. */
+    /**
+     * Guards against lost requests: a client that takes next to nothing may not keep its response open beyond its
+     * deadline.
+     */
     @Test
-    void responseThatItsClientReadsSlowlyIsAborted() throws Exception {
-        startWithServer(request -> {
+    void responseThatItsClientHardlyReadsIsAborted() throws Exception {
+        Server server = startWithServer(request -> {
             request.write("HTTP/1.1 200 OK\r\nContent-Length: " + EXCEEDS_BUFFERS_BYTES + "\r\n\r\n");
             writeBytes(request, new byte[EXCEEDS_BUFFERS_BYTES]);
         });
         Client client = connectClient().getSafe("a", 500);
         assertEquals(200, client.readHead().status());
-        assertThrows(IOException.class, () -> {
-            for (int read = 0; read < EXCEEDS_BUFFERS_BYTES; read += SLOWLY_READ_BYTES) {
-                client.in.readNBytes(SLOWLY_READ_BYTES);
-                Thread.sleep(PACE_MS);
-            }
-        });
+        ReceivedRequest request = StandIns.awaitNext(server.received, "the request");
+        long limitNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(StandIns.TIMEOUT_S);
+        while (!request.connectionEnded().isDone() && System.nanoTime() < limitNanos) {
+            client.in.readNBytes(SLOWLY_READ_BYTES);
+            Thread.sleep(PACE_MS);
+        }
+        assertTrue(request.connectionEnded().isDone(), "the attempt ends while the client hardly reads");
+        assertTrue(breaksOff(client), "the client can tell that the response is incomplete");
     }
 
     /** Guards against connections that stay open for ever: what a client sends does not show that it reads. */
--- a/src/test/java/mulleinfront/proxy/SlowTransferTest.java
+++ b/src/test/java/mulleinfront/proxy/SlowTransferTest.java
@@ -42,6 +42,12 @@
     private static final int PIECE_INTERVAL_MS = 50;
     private static final int PIECES_IN_LUMP = 6;
     private static final int LATE_BODY_MS = 700;
+    /** Bytes a second: an ordinary body, by the protocol, within its longest deadline. */
+    private static final int MINIMUM_RATE = 64 * 1024 / 3;
+    /** The pace of a client that reads slowly: 100 KB a second. */
+    private static final int CLIENT_READ_BYTES = 5_000;
+
+    private static final int CLIENT_READ_INTERVAL_MS = 50;
     private static final int TRICKLE_BYTES = 16;
     private static final int TRICKLE_INTERVAL_MS = 100;
     /** The platform's page: an answer is lost half a second after its time, each limit on sockets is 50 ms longer. */
@@ -60,6 +66,7 @@
     private final ExecutorService threads = Executors.newFixedThreadPool(THREADS);
     private final List<AutoCloseable> resources = new ArrayList<>();
     private DeployedProxy proxy;
+    private volatile int clientReadIntervalMs;
 
     /** How a server delimits the body of its answer. */
     enum Framing {
@@ -87,6 +94,11 @@
         STEADY,
         LUMPS,
         LATE_BODY,
+        AT_ONCE,
+        /** Half as much again as an ordinary body of 64 KiB in 3 s. */
+        ABOVE_MINIMUM_RATE,
+        /** Half of that rate. */
+        BELOW_MINIMUM_RATE,
         /** A few bytes each tenth of a second, without end. */
         TRICKLE
     }
@@ -105,7 +117,13 @@
                     Thread.sleep(TRICKLE_INTERVAL_MS);
                 }
             }
-            int pieceBytes = pace == Pace.LUMPS ? PIECES_IN_LUMP * PIECE_BYTES : PIECE_BYTES;
+            int pieceBytes = switch (pace) {
+                case LUMPS -> PIECES_IN_LUMP * PIECE_BYTES;
+                case AT_ONCE -> LONG_BYTES;
+                case ABOVE_MINIMUM_RATE -> MINIMUM_RATE * 3 / 2 * PIECE_INTERVAL_MS / 1_000;
+                case BELOW_MINIMUM_RATE -> MINIMUM_RATE / 2 * PIECE_INTERVAL_MS / 1_000;
+                default -> PIECE_BYTES;
+            };
             int intervalMs = pace == Pace.LUMPS ? PIECES_IN_LUMP * PIECE_INTERVAL_MS : PIECE_INTERVAL_MS;
             for (int sent = 0; sent < LONG_BYTES; sent += pieceBytes) {
                 framing.write(out, new byte[Math.min(pieceBytes, LONG_BYTES - sent)]);
@@ -190,22 +208,23 @@
         return new Call(name, deadlineMs, result, received.size(), tookMs);
     }
 
-    private static void readBody(Client client, StandIns.Message head, ByteArrayOutputStream received)
-            throws IOException {
+    private void readBody(Client client, StandIns.Message head, ByteArrayOutputStream received) throws IOException {
         if ("chunked".equals(head.header("transfer-encoding"))) {
             for (byte[] chunk; (chunk = StandIns.readChunk(client.in)).length > 0; ) {
                 received.write(chunk);
+                pause((long) clientReadIntervalMs * chunk.length / CLIENT_READ_BYTES);
             }
             return;
         }
         int length = Integer.parseInt(head.header("content-length"));
-        byte[] piece = new byte[PIECE_BYTES];
+        byte[] piece = new byte[CLIENT_READ_BYTES];
         while (received.size() < length) {
             int bytes = client.in.read(piece, 0, Math.min(piece.length, length - received.size()));
             if (bytes < 0) {
                 throw new EOFException("ended in the body");
             }
             received.write(piece, 0, bytes);
+            pause(clientReadIntervalMs);
         }
     }
 
@@ -263,12 +282,35 @@
         assertAllWhole(answersOf(Pace.LATE_BODY));
     }
 
+    /** Guards against sound streams that are cut off: the slowest pace that is sound, also after the deadline. */
+    @Test
+    void longAnswerAboveTheMinimumRateArrivesWhole() throws Exception {
+        assertAllWhole(answersOf(Pace.ABOVE_MINIMUM_RATE));
+    }
+
+    /** Guards against lost requests: an answer slower than that ends soon after its client's deadline. */
+    @Test
+    void longAnswerBelowTheMinimumRateEndsHalfASecondAfterTheDeadline() throws Exception {
+        assertAllEndInTime(answersOf(Pace.BELOW_MINIMUM_RATE));
+    }
+
+    /** Guards against sound streams that are cut off: the client reads slowly, and beyond its deadline. */
+    @Test
+    void longAnswerThatItsClientReadsSlowlyArrivesWhole() throws Exception {
+        clientReadIntervalMs = CLIENT_READ_INTERVAL_MS;
+        assertAllWhole(answersOf(Pace.AT_ONCE));
+    }
+
     /** Guards against lost requests: an answer that brings next to nothing ends soon after its client's deadline. */
     @Test
     void trickleEndsHalfASecondAfterTheDeadline() throws Exception {
+        assertAllEndInTime(answersOf(Pace.TRICKLE));
+    }
+
+    private static void assertAllEndInTime(List<Call> calls) {
         assertEquals(
                 List.of(),
-                answersOf(Pace.TRICKLE).stream()
+                calls.stream()
                         .filter(call ->
                                 call.result().equals("status 200") || call.tookMs() > call.deadlineMs() + GRACE_MS)
                         .toList());
