Bounded work for each connection in a turn of the event loop

Callers saw: beside one client that sent small calls with ever new keys at full speed, other calls had no answer in 2.5 s; discovery's watch was not read.

Cause: all that waited on a connection was answered in one go, with one system call each, and up to 16 reads were made for each event; what was read ahead was passed on by tasks that run before any other connection.

Change: one read of 8 KB and 32 requests for each client connection and turn, four reads of 16 KB for an endpoint's; what is left goes on in a scheduled task, which runs after the other connections. A client that sends more than is read may have closed behind it: its requests wait until all was read within 50 ms, and are refused once that takes over 0.5 s. Reading pauses at 10,000 requests that will be refused.

Found beside it: the read-ahead buffer overflowed when it was read in part (IndexOutOfBoundsException, and the connection hung); it is compacted now.

ClientDisconnectTest, BadClientsTest, ClosingTest pass.

--- a/src/main/java/mulleinfront/proxy/ClientChannel.java
+++ b/src/main/java/mulleinfront/proxy/ClientChannel.java
@@ -33,6 +33,8 @@
     private ByteBuf readAhead;
 
     private boolean readScheduled;
+    /** When all that had arrived was last read. */
+    private long readToTheEndNanos = System.nanoTime();
     /** Whether the last read left nothing to be read. */
     private boolean readAllArrived = true;
 
@@ -50,6 +52,7 @@
                         ? 0
                         : javaChannel().read(readBuffer.clear());
                 if (bytesRead <= 0) {
+                    readToTheEndNanos = isReadAheadFull() ? readToTheEndNanos : System.nanoTime();
                     return bytesRead < 0;
                 }
                 appendReadAhead(readBuffer.flip());
@@ -60,6 +63,15 @@
         }
     }
 
+    /** Whether all that had arrived was read at some moment of this time up to now, so that a close was seen then. */
+    boolean readToTheEndWithin(long nanos) {
+        return System.nanoTime() - readToTheEndNanos < nanos || !closedByClient() && !isReadAheadFull();
+    }
+
+    private boolean isReadAheadFull() {
+        return readAhead != null && readAhead.readableBytes() >= MAX_READ_AHEAD_BYTES;
+    }
+
     /** Whether data has arrived that the pipeline has not read. */
     boolean hasUnreadData() {
         return !closedByClient() && readAhead != null;
@@ -75,20 +87,28 @@
         readAhead = readAhead == null
                 ? Upstream.ALLOCATOR.buffer(data.remaining(), MAX_READ_AHEAD_BYTES + READ_BYTES)
                 : readAhead;
+        if (readAhead.maxWritableBytes() < data.remaining()) {
+            readAhead.discardReadBytes();
+        }
         readAhead.writeBytes(data);
         scheduleRead();
     }
 
-    /** Schedules a read by the pipeline, since the selector does not report data that has been read ahead. */
+    /**
+     * Schedules a read by the pipeline, since the selector does not report data that has been read ahead. It runs after
+     * a turn of the other connections: a task that is only executed would run before them.
+     */
     private void scheduleRead() {
         if (!readScheduled) {
             readScheduled = true;
-            eventLoop().execute(() -> {
-                readScheduled = false;
-                if (readAhead != null && isActive() && config().isAutoRead()) {
-                    unsafe().read();
-                }
-            });
+            eventLoop().schedule(this::passOnReadAhead, 0, TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void passOnReadAhead() {
+        readScheduled = false;
+        if (readAhead != null && isActive() && config().isAutoRead()) {
+            unsafe().read();
         }
     }
 
@@ -106,6 +126,7 @@
             int capacity = target.writableBytes();
             int bytesRead = super.doReadBytes(target);
             readAllArrived = bytesRead < capacity;
+            readToTheEndNanos = readAllArrived ? System.nanoTime() : readToTheEndNanos;
             return bytesRead;
         }
         readAllArrived = false;
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -61,6 +61,16 @@
 
     private static final int FIRST_READ_BYTES = 2 * 1024;
     private static final int MAX_READ_BYTES = 8 * 1024;
+    /** Reads from one connection before the event loop turns to the others. */
+    private static final int READS_PER_TURN = 1;
+    /** Waiting requests of one connection that are handled before the event loop turns to the others. */
+    private static final int REQUESTS_PER_TURN = 32;
+    /** Waiting requests of one connection, to be refused, at which reading from it pauses. */
+    private static final int MAX_WAITING_REFUSALS = 10_000;
+    /** Time in which a client's close has to be seen: half of that after which nothing may be sent for it. */
+    private static final long CLOSE_NOTICE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    /** Time for which waiting requests are not handled while their client sends more than is read. */
+    private static final long MAX_UNREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     /** Connections that the operating system queues before the proxy accepts them. */
     private static final int ACCEPT_BACKLOG = 1024;
     /**
@@ -184,7 +194,8 @@
                 .childOption(ChannelOption.ALLOCATOR, Upstream.ALLOCATOR)
                 .childOption(
                         ChannelOption.RCVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(READS_PER_TURN))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_SNDBUF, Upstream.SEND_BUFFER_BYTES)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Upstream.WRITE_WATER_MARK)
@@ -322,6 +333,8 @@
         private int unwrittenBytes;
         /** The part of these bytes that belongs to the open request's streamed body, until it is being sent. */
         private int uploadBytes;
+        /** Waiting requests that will be refused. */
+        private int waitingRefusals;
         /** The part that belongs to the open request. */
         private int openBytes;
         /** The streamed body of the open request; null if there is none. */
@@ -723,6 +736,7 @@
             requestStartedNanos = 0;
             if (refused) {
                 addRequestBytes(-request.heldBytes());
+                waitingRefusals++;
                 boolean followsRefused =
                         !pipelined.isEmpty() && pipelined.peekLast().refusedCount() > 0;
                 pipelined.add(PendingRequest.refused(
@@ -755,20 +769,27 @@
         private void resumeReading() {
             if (upload == null) {
                 ignoresInput |= newRequestsStopped && requestStartedNanos == 0;
-                channel.config().setAutoRead(true);
+                channel.config().setAutoRead(waitingRefusals < MAX_WAITING_REFUSALS);
             }
         }
 
         // ---- answering -------------------------------------------------------------------------------
 
-        /** Handles waiting requests in order while none is open. */
+        /** Handles waiting requests in order while none is open, a limited number in each turn of the event loop. */
         private void dispatchPending() {
             if (dispatching) {
                 return;
             }
             dispatching = true;
+            int handled = 0;
             while (!busy && !pipelined.isEmpty() && channel.isActive()) {
+                if (handled++ == REQUESTS_PER_TURN || awaitsReading()) {
+                    // A scheduled task runs after the other connections, one that is only executed before them.
+                    loop.schedule(this::continueDispatching, 0, TimeUnit.NANOSECONDS);
+                    return;
+                }
                 PendingRequest next = pipelined.poll();
+                waitingRefusals -= next.refusedCount() > 0 ? 1 : 0;
                 if (next.refusedCount() > 1) {
                     pipelined.addFirst(PendingRequest.refused(next.refusedCount() - 1));
                 }
@@ -780,6 +801,24 @@
             resumeReading();
         }
 
+        private void continueDispatching() {
+            dispatching = false;
+            dispatchPending();
+        }
+
+        /** Whether reading may soon show if the client has closed; a client that sends without a pause is not waited for. */
+        private boolean awaitsReading() {
+            return pipelined.peek().head() != null
+                    && channel.config().isAutoRead()
+                    && mayHaveClosedUnseen()
+                    && channel.readToTheEndWithin(MAX_UNREAD_NANOS);
+        }
+
+        /** Whether the client has sent more than could be read for so long that a close behind it may be unseen. */
+        private boolean mayHaveClosedUnseen() {
+            return upload == null && !channel.readToTheEndWithin(CLOSE_NOTICE_NANOS);
+        }
+
         private void handle(PendingRequest pending, BodyStream remainingBody) {
             busy = true;
             idle.remove(this);
@@ -806,6 +845,9 @@
                         VERSION_HEADER);
             } else if (!path.equals("/api") && !path.startsWith("/api/")) {
                 answer(HttpResponseStatus.NOT_FOUND);
+            } else if (remainingBody == null && mayHaveClosedUnseen()) {
+                errors.add(ClientError.MEMORY);
+                refused(proxy.retryAfterUs());
             } else {
                 proxy.accept(this, request, pending.body(), remainingBody, pending.receivedAtUs());
             }
@@ -819,12 +861,16 @@
 
         @Override
         public boolean stillWaiting() {
-            if (!channel.closedByClient()) {
-                return true;
+            if (channel.closedByClient()) {
+                requestHandle = null;
+                close(Close.BY_PEER);
+                return false;
             }
-            requestHandle = null;
-            close(Close.BY_PEER);
-            return false;
+            if (mayHaveClosedUnseen()) {
+                failed(false);
+                return false;
+            }
+            return true;
         }
 
         @Override
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -89,6 +89,8 @@
 
     private static final int FIRST_READ_BYTES = 2 * 1024;
     private static final int MAX_READ_BYTES = 16 * 1024;
+    /** Reads from one connection before the event loop turns to the others. */
+    private static final int READS_PER_TURN = 4;
 
     /**
      * Allocates buffers on the heap, whose size is limited as a whole. At this traffic they need no pool and no leak
@@ -141,7 +143,8 @@
                 .option(ChannelOption.ALLOCATOR, ALLOCATOR)
                 .option(
                         ChannelOption.RCVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES))
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
+                                .maxMessagesPerRead(READS_PER_TURN))
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK)
