An id whose request may still run is not sent again

Cause: an id was known only while its request was open. A client that left ended the request here, while its attempt might run on at the host.

Safe requests, and ids after an answer, are as before. The other process of an upgrade does not know them: docs/incidents has that as an open risk.

--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -58,6 +58,7 @@
     private long listValidUntil = Long.MAX_VALUE;
 
     private final Map<String, RequestHandle<Q, A>> requestsById = new HashMap<>();
+    private final UnsettledIds unsettledIds;
     /** Endpoints that are ready by the lists received so far, whether or not the balancer has processed them. */
     private final Map<String, Endpoint> readyEndpoints = new HashMap<>();
     /** Queued events for the balancer and actions of the balancer, in order; see {@link #run}. */
@@ -174,6 +175,7 @@
         this.settings = settings;
         this.time = time;
         this.wire = wire;
+        this.unsettledIds = new UnsettledIds(unsettledTimeUs(settings));
         this.exceptionHandler = exceptionHandler;
     }
 
@@ -389,9 +391,12 @@
         }
     }
 
-    /** Returns whether a request of this id is open. The id may not be used again before the request has ended. */
+    /**
+     * Returns whether a request of this id is open, or has ended without an answer although it may run. The id may not
+     * be used again: the request could run twice.
+     */
     public boolean isOpen(String requestId) {
-        return requestsById.containsKey(requestId);
+        return requestsById.containsKey(requestId) || unsettledIds.contains(requestId, time.now());
     }
 
     /** Returns whether the lists received so far contain an endpoint that is ready. */
@@ -623,7 +628,27 @@
 
     /** Removes the request after the actions that are queued, which may still name it. */
     private void scheduleRemoval(RequestHandle<Q, A> handle) {
-        tasks.add(() -> requestsById.remove(handle.request.id(), handle));
+        tasks.add(() -> {
+            if (requestsById.remove(handle.request.id(), handle) && mayStillRun(handle)) {
+                unsettledIds.add(handle.request.id(), time.now());
+            }
+        });
+    }
+
+    /** Whether an attempt of a request that must not run twice may have run or may still run, without being answered. */
+    private static boolean mayStillRun(RequestHandle<?, ?> handle) {
+        return handle.requestClass.effect() != Effect.RETRYABLE
+                && (handle.mayHaveRun || handle.activeAttempt != null)
+                && (handle.clientGone || handle.lastOutcome != Outcome.OK);
+    }
+
+    /** Time in which a client may repeat a request: its deadline, or the time in which endpoints drop repeats. */
+    private static long unsettledTimeUs(Settings settings) {
+        long longestUs = 0;
+        for (RequestClass requestClass : settings.classes()) {
+            longestUs = Math.max(longestUs, Math.max(requestClass.deadlineUs(), requestClass.dedupWindowUs()));
+        }
+        return longestUs + ANSWER_GRACE_US;
     }
 
     // ---- decisions of the balancer --------------------------------------------------------------------
--- a/src/test/java/mulleinfront/proxy/RepeatedIdTest.java
+++ b/src/test/java/mulleinfront/proxy/RepeatedIdTest.java
@@ -22,6 +22,8 @@
 class RepeatedIdTest {
     private static final int DEADLINE_MS = 2_000;
     private static final int PAUSE_MS = 300;
+    /** The platform's page: 0.1 s after the close, with 0.15 s for a process that is held up and 50 ms on sockets. */
+    private static final int CLOSE_SEEN_MS = 300;
 
     @TempDir
     Path folder;
@@ -82,4 +84,22 @@
         first.close();
         assertEquals(1, received.size(), "sent once");
     }
+
+    /** Guards against requests that are sent on for a client that has closed its connection with much still unread. */
+    @ParameterizedTest
+    @ValueSource(ints = {60, 20_000})
+    void pipelinedRequestsAreNotBegunAfterTheirClientHasClosed(int count) throws Exception {
+        DeployedProxy proxy = start();
+        Client client = proxy.connect();
+        StringBuilder pipelined = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            pipelined.append(request("GET", "safe", "X-Number: " + i + "\r\n").replace("again", "id" + i));
+        }
+        client.write(pipelined.toString());
+        client.close();
+        Thread.sleep(CLOSE_SEEN_MS);
+        int begunInTime = received.size();
+        Thread.sleep(PAUSE_MS);
+        assertEquals(begunInTime, received.size(), "nothing is begun later");
+    }
 }
