Changes of an older version than the one asked for are no renewal of the list

Cause: the first line of a watch, changes of version 3 after version 40, was filtered as outdated, entry by entry, and still renewed the list: requests went on to endpoints that had left, by a list that counted as confirmed.

Change: such a line fails the watch, and the next call asks for the whole list.

Evidence: ListsTest#changesOfAnOlderVersionAreRejectedAndTheWholeListIsAskedFor, which failed before ("DELTA []" in place of a failed watch) and passes; ListsTest, DiscoveryTest, LateDiscoveryAnswerTest pass.

--- a/src/main/java/mulleinfront/proxy/Discovery.java
+++ b/src/main/java/mulleinfront/proxy/Discovery.java
@@ -308,6 +308,8 @@
         private final WatchReadTimeout readTimeout;
         private boolean endedByDiscovery;
         private boolean listReceived;
+        /** The version after which this watch asked for changes; -1 for the whole list. */
+        private long askedAfter = -1;
         /** The newest version that this watch has sent. */
         private long newestVersion = -1;
 
@@ -336,6 +338,7 @@
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            askedAfter = version;
             String after = version >= 0 ? "&after=" + version : "";
             ctx.writeAndFlush(Unpooled.copiedBuffer(
                     "GET /api/targets?watch=1" + after + " HTTP/1.1\r\n" + "Host: discovery\r\n\r\n",
@@ -399,6 +402,7 @@
             if (isOpen()) {
                 EndpointList listing = EndpointList.parse(ByteBufUtil.getBytes(json));
                 if (!listReceived) {
+                    requireSameVersions(listing);
                     onFirstList(ctx);
                 }
                 // A full list replaces the current one, unless this watch has already sent a newer version.
@@ -416,6 +420,17 @@
             }
         }
 
+        /**
+         * Rejects changes since a version that is older than the one asked for: discovery numbers its versions anew,
+         * and the current list may lack any change. The next call asks for the whole list.
+         */
+        private void requireSameVersions(EndpointList listing) throws IOException {
+            if (!listing.full() && listing.version() < askedAfter) {
+                version = -1;
+                throw new IOException("version " + listing.version() + " after version " + askedAfter);
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             endedByDiscovery = true;
--- a/src/test/java/mulleinfront/proxy/ListsTest.java
+++ b/src/test/java/mulleinfront/proxy/ListsTest.java
@@ -108,6 +108,37 @@
         assertEquals(1, received.size());
     }
 
+    /**
+     * Guards against requests to endpoints that have left: another discovery process came up at the address and numbers
+     * its versions anew.
+     */
+    @Test
+    void changesOfAnOlderVersionAreRejectedAndTheWholeListIsAskedFor() throws Exception {
+        Server host = startServer(request -> request.respondOk("x"));
+        startProxy("", StandIns.endpointJson("s", host.address(), "in_service"));
+        ReceivedRequest watch = discovery.acceptWatch();
+        DiscoveryStandIn.push(
+                watch, StandIns.listJson(40, true, StandIns.endpointJson("s", host.address(), "in_service")));
+        assertEquals("FULL [s 1 READY]", StandIns.awaitNext(balancer.listEvents, "the first list"));
+        subscribeOnEachRequest();
+        watch.write("0\r\n\r\n");
+        assertEquals("failed", StandIns.awaitNext(balancer.listEvents, "the end"));
+        assertEquals(200, connectClient().postUnsafe("id1", 20_000).read().status());
+        ReceivedRequest second = discovery.acceptWatch();
+        assertTrue(second.message().startLine().contains("after=40 "));
+        DiscoveryStandIn.push(
+                second, StandIns.listJson(3, false, StandIns.endpointJson("s", host.address(), "terminating")));
+        assertEquals("failed", StandIns.awaitNext(balancer.listEvents, "the rejected list"));
+        assertEquals(200, connectClient().postUnsafe("id2", 20_000).read().status());
+        ReceivedRequest third = discovery.acceptWatch();
+        assertTrue(
+                third.message().startLine().contains("?watch=1 "),
+                third.message().startLine());
+        DiscoveryStandIn.push(
+                third, StandIns.listJson(3, true, StandIns.endpointJson("t", host.address(), "in_service")));
+        assertEquals("FULL [t 1 READY]", StandIns.awaitNext(balancer.listEvents, "the whole list"));
+    }
+
     private void moveDiscoveryTo(String address) throws Exception {
         proxy.reload(Config.parse(StandIns.configJson(0, address, "", "null").getBytes(StandardCharsets.UTF_8)));
     }
