Soak: crowds send half heads, write and read slowly, and one client floods

Change: CrowdClient, five kinds in one crowd, none of which sends a request that may reach a server.

--- a/src/main/java/mulleinfront/emulator/GeneratedScenario.java
+++ b/src/main/java/mulleinfront/emulator/GeneratedScenario.java
@@ -336,7 +336,7 @@
         return out.toString();
     }
 
-    /** Adds discovery calls from other callers, and clients that connect and send nothing. */
+    /** Adds discovery calls from other callers, and a crowd of bad clients. */
     private void addOverload(double lastS, int instances) {
         double at = between(FAULT_MARGIN_S, lastS / 2);
         beginFault("discovery-crowd", at)
--- a/src/main/java/mulleinfront/kit/ClientDriver.java
+++ b/src/main/java/mulleinfront/kit/ClientDriver.java
@@ -5,7 +5,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -78,16 +77,17 @@
     }
 
     /**
-     * Opens idle connections to a client proxy and closes them after the given time, unless the proxy did so before.
+     * Opens the connections of a crowd of bad clients to a client proxy and closes them after the given time, unless the
+     * proxy did so before.
      */
     void floodConnections(int proxy, int connections, long durationUs) {
         for (int i = 0; i < connections; i++) {
-            Channel idleConnection = bootstrap
+            Channel connection = bootstrap
                     .clone()
-                    .handler(new ChannelInboundHandlerAdapter())
+                    .handler(new CrowdClient(CrowdClient.kindOf(i)))
                     .connect(addresses.daemon(proxy))
                     .channel();
-            clock.loop.schedule(() -> idleConnection.close(), durationUs, TimeUnit.MICROSECONDS);
+            clock.loop.schedule(() -> connection.close(), durationUs, TimeUnit.MICROSECONDS);
         }
     }
 
