Ids of requests that were served are not kept

Cause: a served request was removed before the outcome of its last attempt was noted, so it counted as unsettled.

Change: the request itself notes that an attempt has succeeded, before it is removed.

--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -107,6 +107,8 @@
         private boolean answered;
         /** Whether the client left before its answer was complete. */
         private boolean clientGone;
+        /** Whether an attempt has succeeded. */
+        private boolean served;
         /** Whether the request is still being read. */
         private boolean reading;
         /** Since when bytes of the request may have arrived that are not read; {@link #ALL_READ} if there are none. */
@@ -639,7 +641,7 @@
     private static boolean mayStillRun(RequestHandle<?, ?> handle) {
         return handle.requestClass.effect() != Effect.RETRYABLE
                 && (handle.mayHaveRun || handle.activeAttempt != null)
-                && (handle.clientGone || handle.lastOutcome != Outcome.OK);
+                && (handle.clientGone || !handle.served);
     }
 
     /** Time in which a client may repeat a request: its deadline, or the time in which endpoints drop repeats. */
@@ -798,6 +800,7 @@
 
     private void onAttemptEnded(RequestHandle<Q, A> handle, int number, long sentAt, Outcome outcome, A answer) {
         handle.activeAttempt = null;
+        handle.served |= outcome == Outcome.OK;
         if (!outcome.neverRan() && !handle.mayHaveRun) {
             handle.mayHaveRun = true;
             handle.mayHaveRunSentAt = sentAt;
