One read of 8 KB from an endpoint in a turn, so that streams stay in the account

Callers saw: MemoryLimitTest with readers that try again until they are admitted: 108 MB of 96 with 450 long answers that are not read.

Cause: four reads of 16 KB were collected for each stream before it paused, so 450 streams held 64 KB each beyond what the account allowed.

Change: one read of 8 KB for each endpoint connection and turn, as for clients. The test's slow readers now repeat a refused call, and a crowd of all kinds is there when the process is told to end.

--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -88,9 +88,9 @@
     private static final int MIN_READ_BYTES = 512;
 
     private static final int FIRST_READ_BYTES = 2 * 1024;
-    private static final int MAX_READ_BYTES = 16 * 1024;
+    private static final int MAX_READ_BYTES = 8 * 1024;
     /** Reads from one connection before the event loop turns to the others. */
-    private static final int READS_PER_TURN = 4;
+    private static final int READS_PER_TURN = 1;
 
     /**
      * Allocates buffers on the heap, whose size is limited as a whole. At this traffic they need no pool and no leak
--- a/src/test/java/mulleinfront/proxy/MemoryLimitTest.java
+++ b/src/test/java/mulleinfront/proxy/MemoryLimitTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,6 +15,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import mulleinfront.proxy.StandIns.ReceivedRequest;
 import mulleinfront.proxy.StandIns.Server;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -29,6 +32,10 @@
     private static final long BYTES_PER_MB = 1_000_000;
     private static final int DEADLINE_MS = 2_000;
     private static final int GRACE_MS = 500;
+    /** The protocol's page: SIGKILL comes no sooner than this after the longest deadline. */
+    private static final int KILLED_AFTER_DEADLINE_MS = 700;
+    /** The JVM's exit code after SIGTERM. */
+    private static final int SIGTERM_EXIT_CODE = 143;
     /** How long a crowd lasts, in periods after which its members that were closed come again. */
     private static final int ROUNDS = 8;
 
@@ -107,7 +114,7 @@
                 }
                 send(socket.getOutputStream());
                 steps++;
-                if (crowd != Crowd.SLOW_READERS && crowd != Crowd.READS_NO_ORDINARY_ANSWERS && ended()) {
+                if (crowd == Crowd.SLOW_READERS ? steps == 1 && isRefused() : readsAnswers() && ended()) {
                     close();
                 }
             } catch (IOException closed) {
@@ -115,10 +122,21 @@
             }
         }
 
+        private boolean readsAnswers() {
+            return crowd != Crowd.READS_NO_ORDINARY_ANSWERS;
+        }
+
+        /** Reads no more than the beginning of an answer; a call that is refused is made again. */
+        private boolean isRefused() throws IOException {
+            socket.setSoTimeout(DEADLINE_MS);
+            byte[] start = socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+            return !new String(start, StandardCharsets.US_ASCII).endsWith("200");
+        }
+
         private boolean ended() throws IOException {
             try {
                 return socket.getInputStream().read(new byte[8_192]) < 0;
-            } catch (java.net.SocketTimeoutException nothing) {
+            } catch (SocketTimeoutException nothing) {
                 return false;
             }
         }
@@ -216,7 +234,7 @@
         return proxy;
     }
 
-    @org.junit.jupiter.api.AfterEach
+    @AfterEach
     void closeAll() throws Exception {
         members.forEach(Member::close);
         for (AutoCloseable resource : resources) {
@@ -277,4 +295,19 @@
             assertEquals(0, usual.late.get(), "of " + usual.calls + " usual calls");
         }
     }
+
+    /** Guards against a process that is killed at the end of a restart: a crowd does not delay its end. */
+    @Test
+    void crowdDoesNotDelayTheEndOfTheProcess() throws Exception {
+        DeployedProxy proxy = start(LEAST_MEMORY_MB);
+        for (int i = 0; i < Crowd.MIXED.size; i++) {
+            members.add(new Member(Crowd.MIXED, i, proxy.port));
+        }
+        members.forEach(Member::step);
+        proxy.process.destroy();
+        assertTrue(
+                proxy.process.waitFor(DEADLINE_MS + KILLED_AFTER_DEADLINE_MS, TimeUnit.MILLISECONDS),
+                "it has ended before it would be killed: " + proxy.logText());
+        assertEquals(SIGTERM_EXIT_CODE, proxy.process.exitValue());
+    }
 }
