Requests behind an answer that is not taken are not read; safe repeats of an id pass

ServeTest on the same commit: a safe request under the id of an unsafe one was answered 400.

Cause: up to 10,000 requests were read and refused behind an answer that their client does not take. The guard took the close of such a connection for a lost answer. The ids that are kept were compared whatever the class of the request.

A close is no violation while the client takes no answer. Safe requests may come again under any id that is not open. The soak's slow readers send 200 requests and then one each 20 ms.

--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -394,11 +394,13 @@
     }
 
     /**
-     * Returns whether a request of this id is open, or has ended without an answer although it may run. The id may not
-     * be used again: the request could run twice.
+     * Returns whether a request may not be accepted under this id: a request of it is open, or has ended without an
+     * answer although it may still run, so that one which must not run twice could.
      */
-    public boolean isOpen(String requestId) {
-        return requestsById.containsKey(requestId) || unsettledIds.contains(requestId, time.now());
+    public boolean isTaken(String requestId, int classIndex) {
+        return requestsById.containsKey(requestId)
+                || settings.classes().get(classIndex).effect() != Effect.RETRYABLE
+                        && unsettledIds.contains(requestId, time.now());
     }
 
     /** Returns whether the lists received so far contain an endpoint that is ready. */
@@ -415,7 +417,7 @@
      * Accepts a complete request. Its handler is called with one final answer in time, whatever the balancer decides.
      *
      * @param handler receives the final answer
-     * @param id id of the request; must not be open, see {@link #isOpen}
+     * @param id id of the request; must not be open, see {@link #isTaken}
      * @param classIndex position in the settings' classes
      * @param key routing key, or null
      * @param deadlineMs how long the client waits, milliseconds from {@code receivedAt}, at least 1
@@ -444,7 +446,7 @@
      * deadline counts from the last byte, which {@link #requestComplete} reports; until then no attempt can have run.
      *
      * @param handler receives the final answer
-     * @param id id of the request; must not be open, see {@link #isOpen}
+     * @param id id of the request; must not be open, see {@link #isTaken}
      * @param classIndex position in the settings' classes
      * @param key routing key, or null
      * @param deadlineMs how long the client waits, milliseconds from the last byte of the request, at least 1
--- a/src/main/java/mulleinfront/kit/CrowdClient.java
+++ b/src/main/java/mulleinfront/kit/CrowdClient.java
@@ -19,6 +19,7 @@
     private static final int PIECE_BYTES = 500;
     private static final int WRITE_INTERVAL_MS = 20;
     private static final int REQUESTS_PER_WRITE = 20;
+    private static final int UNREAD_REQUESTS = 200;
     private static final String UNKNOWN_PATH = "GET /crowd HTTP/1.1\r\nHost: origin.svc\r\n\r\n";
 
     /** What the client does on its connection. */
@@ -57,7 +58,8 @@
             }
             case SLOW_READER -> {
                 ctx.channel().config().setAutoRead(false);
-                writeRepeatedly(ctx, UNKNOWN_PATH.repeat(REQUESTS_PER_WRITE), Integer.MAX_VALUE);
+                write(ctx, UNKNOWN_PATH.repeat(UNREAD_REQUESTS));
+                writeRepeatedly(ctx, UNKNOWN_PATH, Integer.MAX_VALUE);
             }
             case FLOODER -> flood(ctx);
         }
--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -687,9 +687,10 @@
         Integer classIndex = classIndexes.get(head.requestClass());
         int tenant = head.tenant() == null ? -1 : config.tenants().indexOf(head.tenant());
         boolean tenantKnown = !head.tenantStated() || config.tenants().isEmpty() || tenant >= 0;
-        boolean idUnused = head.id() != null && !head.id().isEmpty() && !core.isOpen(head.id());
-        if (!idUnused
+        if (head.id() == null
+                || head.id().isEmpty()
                 || classIndex == null
+                || core.isTaken(head.id(), classIndex)
                 || head.deadlineMs() < 1
                 || !tenantKnown
                 || config.settings().classes().get(classIndex).effect() != head.effect(body.length)) {
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -67,6 +67,8 @@
     private static final int REQUESTS_PER_TURN = 32;
     /** Waiting requests of one connection, to be refused, at which reading from it pauses. */
     private static final int MAX_WAITING_REFUSALS = 10_000;
+    /** Waiting requests at which reading pauses while the client does not take the answer before them. */
+    private static final int MAX_REQUESTS_BEHIND_ANSWER = 16;
     /** Time in which a client's close has to be seen: half of that after which nothing may be sent for it. */
     private static final long CLOSE_NOTICE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     /** Time for which waiting requests are not handled while their client sends more than is read. */
@@ -333,6 +335,8 @@
         private int unwrittenBytes;
         /** The part of these bytes that belongs to the open request's streamed body, until it is being sent. */
         private int uploadBytes;
+        /** Since when waiting requests are held back until more is read; 0 if they are not. */
+        private long deferredSinceNanos;
         /** Waiting requests that will be refused. */
         private int waitingRefusals;
         /** The part that belongs to the open request. */
@@ -427,6 +431,9 @@
                 add(-bytes);
                 unwrittenBytes -= bytes;
                 paceDownload();
+                if (unwrittenBytes == 0) {
+                    resumeReading();
+                }
             });
         }
 
@@ -769,10 +776,15 @@
         private void resumeReading() {
             if (upload == null) {
                 ignoresInput |= newRequestsStopped && requestStartedNanos == 0;
-                channel.config().setAutoRead(waitingRefusals < MAX_WAITING_REFUSALS);
+                channel.config().setAutoRead(waitingRefusals < MAX_WAITING_REFUSALS && !isAnswerUntaken());
             }
         }
 
+        /** Whether requests wait behind an answer that the client does not take: it gets no further answer before. */
+        private boolean isAnswerUntaken() {
+            return unwrittenBytes > 0 && download == null && pipelined.size() > MAX_REQUESTS_BEHIND_ANSWER;
+        }
+
         // ---- answering -------------------------------------------------------------------------------
 
         /** Handles waiting requests in order while none is open, a limited number in each turn of the event loop. */
@@ -808,10 +820,14 @@
 
         /** Whether reading may soon show if the client has closed; a client that sends without a pause is not waited for. */
         private boolean awaitsReading() {
-            return pipelined.peek().head() != null
-                    && channel.config().isAutoRead()
-                    && mayHaveClosedUnseen()
-                    && channel.readToTheEndWithin(MAX_UNREAD_NANOS);
+            if (pipelined.peek().head() == null || !mayHaveClosedUnseen()) {
+                deferredSinceNanos = 0;
+                return false;
+            }
+            long now = System.nanoTime();
+            deferredSinceNanos = deferredSinceNanos == 0 ? now : deferredSinceNanos;
+            resumeReading();
+            return now - deferredSinceNanos < MAX_UNREAD_NANOS;
         }
 
         /** Whether the client has sent more than could be read for so long that a close behind it may be unseen. */
@@ -1099,7 +1115,8 @@
                     channel.config().setSoLinger(0);
                 }
                 boolean answerRequired = requestHandle != null && !responseIncomplete || !pipelined.isEmpty();
-                if (answerRequired && reason != Close.BY_PEER) {
+                boolean answersTaken = unwrittenBytes == 0;
+                if (answerRequired && answersTaken && reason != Close.BY_PEER) {
                     guard.verify(RuleGuard.Check.CLOSE_UNANSWERED, channel.closedByClient(), null);
                 }
             }
