--- a/src/main/java/mulleinfront/proxy/ClientProxy.java
+++ b/src/main/java/mulleinfront/proxy/ClientProxy.java
@@ -657,6 +657,11 @@
         return clock.now();
     }
 
+    /** The bytes that are held for clients and endpoints; called on the event loop. */
+    Future<Long> heldBytes() {
+        return loop.submit(memory::usedBytes);
+    }
+
     /** Sets how long ago the process started, microseconds. */
     void processStarted(long agoUs) {
         loop.execute(() -> core.processStarted(agoUs));
--- a/src/main/java/mulleinfront/proxy/Frontend.java
+++ b/src/main/java/mulleinfront/proxy/Frontend.java
@@ -1115,8 +1115,8 @@
                     channel.config().setSoLinger(0);
                 }
                 boolean answerRequired = requestHandle != null && !responseIncomplete || !pipelined.isEmpty();
-                boolean answersTaken = unwrittenBytes == 0;
-                if (answerRequired && answersTaken && reason != Close.BY_PEER) {
+                boolean answersUntaken = reason == Close.STALLED && unwrittenBytes > 0;
+                if (answerRequired && !answersUntaken && reason != Close.BY_PEER) {
                     guard.verify(RuleGuard.Check.CLOSE_UNANSWERED, channel.closedByClient(), null);
                 }
             }
@@ -1174,6 +1174,7 @@
             idle.remove(this);
             closing.remove(this);
             pipelined.clear();
+            head = null;
             if (body != null) {
                 body.release();
                 body = null;
