A probe whose response stops behind its head times out

Cause: found by reading the change again: an attempt whose head has come is not given up before its request's deadline, but a probe has no request and so had no limit at all, nor had an attempt whose client had left where the settings allow no cancelling.

Change: the listener says whether the attempt goes on; only one whose request is not answered does.

Evidence: ProxyTest#probeWhoseResponseStopsBehindItsHeadTimesOut waited for 30 s in vain before and passes; AttemptDeadlineTest, CoreTest and SlowTransferTest pass.

--- a/src/main/java/mulleinfront/core/Core.java
+++ b/src/main/java/mulleinfront/core/Core.java
@@ -709,8 +709,12 @@
                             }
 
                             @Override
-                            public void outlivesTimeout() {
+                            public boolean outlivesTimeout() {
+                                if (handle.answered) {
+                                    return false;
+                                }
                                 startStreaming(handle, number);
+                                return true;
                             }
                         });
         if (attempt == null) {
--- a/src/main/java/mulleinfront/core/Wire.java
+++ b/src/main/java/mulleinfront/core/Wire.java
@@ -84,10 +84,14 @@
         }
 
         /**
-         * Called when the timeout passes while the attempt goes on, because its response has begun or its endpoint is
-         * still taking the request. It has no timeout of its own from then on.
+         * Called when the timeout passes although the response has begun or the endpoint is still taking the request.
+         *
+         * @return whether the attempt goes on; it has no timeout of its own then, and ends by {@link Attempt#cancel} at
+         *     the latest
          */
-        default void outlivesTimeout() {}
+        default boolean outlivesTimeout() {
+            return false;
+        }
     }
 
     /** A prepared attempt; it sends nothing before {@link #start}. */
--- a/src/main/java/mulleinfront/proxy/Upstream.java
+++ b/src/main/java/mulleinfront/proxy/Upstream.java
@@ -299,16 +299,15 @@
          * since it was last looked at.
          */
         private void onTimeout() {
-            long taken = connection == null ? 0 : connection.takenBytes();
+            long takenBytes = connection == null ? 0 : connection.takenBytes();
             boolean written = writeFuture != null && writeFuture.isSuccess();
-            if (isResponding()) {
-                listener.outlivesTimeout();
-            } else if (connection != null && !written && taken > lastTakenBytes) {
-                lastTakenBytes = taken;
+            boolean takesRequest = connection != null && !written && takenBytes > lastTakenBytes;
+            if (!isResponding() && !takesRequest || !listener.outlivesTimeout()) {
+                abandon(Outcome.TIMED_OUT);
+            } else if (takesRequest) {
+                lastTakenBytes = takenBytes;
                 deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TAKEN_CHECK_MS);
                 timer = loop.schedule(this::onTimeout, TAKEN_CHECK_MS, TimeUnit.MILLISECONDS);
-            } else {
-                abandon(Outcome.TIMED_OUT);
             }
         }
 
--- a/src/test/java/mulleinfront/proxy/ProxyTest.java
+++ b/src/test/java/mulleinfront/proxy/ProxyTest.java
@@ -281,4 +281,21 @@
         connectClient().postUnsafe("id1", 20_000).read();
         assertEquals(Outcome.OK, StandIns.awaitNext(balancer.probeOutcomes, "the probe's end"));
     }
+
+    /** Guards against a connection that stays open for ever: nothing else limits the time of a probe. */
+    @Test
+    void probeWhoseResponseStopsBehindItsHeadTimesOut() throws Exception {
+        Server host = startServer(request -> request.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"));
+        startProxy(
+                "",
+                config -> config.replace("\"dialTimeoutUs\":20000000", "\"dialTimeoutUs\":300000"),
+                StandIns.endpointJson("s", host.address(), "in_service"));
+        balancer.onRequest = request -> {
+            balancer.actions.probe("s");
+            balancer.actions.fail(request.id());
+        };
+        connectClient().getSafe("a", 20_000).read();
+        assertEquals(Outcome.TIMED_OUT, StandIns.awaitNext(balancer.probeOutcomes, "the probe's end"));
+        StandIns.awaitNext(host.received, "the probe").awaitConnectionEnd();
+    }
 }
