--- a/review/common-2/Deploy.java
+++ b/review/common-2/Deploy.java
@@ -111,15 +111,7 @@
         return process.isAlive();
     }
 
-    /** Sends a signal by its name to the process that {@code run} started. */
-    void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start().waitFor();
-    }
-
-    Process process() {
-        return process;
-    }
-
+    /** Returns the lines that the process has logged. */
     List<String> log() throws IOException {
         return Files.readAllLines(log);
     }
--- a/review/common-2/Record.java
+++ b/review/common-2/Record.java
@@ -13,11 +13,7 @@
 
     /** Returns the milliseconds since the start of the case. */
     static double ms() {
-        return ms(System.nanoTime());
-    }
-
-    static double ms(long nanos) {
-        return (nanos - START_NANOS) / 1e6;
+        return (System.nanoTime() - START_NANOS) / 1e6;
     }
 
     synchronized void line(String format, Object... values) {
