--- a/review/common-2/LeftBehind.java
+++ b/review/common-2/LeftBehind.java
@@ -114,7 +114,7 @@
             String[] zones = {"khan-uul", "bayanzurkh", "sukhbaatar"};
             for (int i = 0; i < HOSTS; i++) {
                 ServerSocket listener = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-                host("server-" + i, i, listener, record, i % 3 == 0, broken, run);
+                host("server-" + i, i, listener, record, trouble && i % 3 == 0, broken, run);
                 entries.add(new Discovery.Entry(
                         "server-" + i, listener.getLocalPort(), zones[i % zones.length], "in_service", 0));
             }
